--- /dev/null
+++ b/internal/protocol/code/code.go
@@ -0,0 +1,182 @@
+// Package code offers the numbered result codes that every part of the system
+// uses, towards callers, operators and other instances. docs/ERRORS.md holds
+// the same table for readers.
+package code
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// Code is the number of a result. Numbers are never reused.
+type Code int
+
+// Result codes of requests that an entry instance refused.
+const (
+	MalformedRequest Code = iota + 1001
+	BodyTooLarge
+	HeaderTooLarge
+	AmbiguousFraming
+	HostMissing
+	PathUnknown
+	MethodNotAllowed
+	KeyMissing
+	KeyUnknown
+	KeyWithdrawn
+	ModelUnknown
+	ModelNotAllowed
+	IdempotencyMismatch
+	DeadlineInvalid
+	BodyTimeout
+)
+
+// Result codes of requests that no target could take in time.
+const (
+	TeamOverloaded Code = iota + 1101
+	DeadlineTooShort
+	ShuttingDown
+	NoTarget
+	InstanceIsolated
+	StoreUnavailable
+	RequestQuarantined
+	BodyMemoryFull
+	NotReady
+)
+
+// Result codes of requests that were sent to a target.
+const (
+	TargetFailed Code = iota + 2001
+	AnswerTruncated
+	TargetTimeout
+	OutcomeUnknown
+	TargetRefused
+	CallerGone
+)
+
+// Result codes of work among instances, the platform and targets.
+const (
+	LeaseLost Code = iota + 3001
+	NoteConflict
+	RowConflict
+	WriteUnknown
+	StoreDown
+	RowMalformed
+	MessageMalformed
+	OrderOpen
+	OrderRefused
+	WindowFrozen
+	RowMissing
+)
+
+// Result codes of input from operators.
+const (
+	SettingsInvalid Code = iota + 4001
+	NoteInvalid
+	CommandInvalid
+)
+
+// Internal is the code of a fault of the system itself.
+const Internal Code = 5001
+
+// Run states whether a request was run at a target.
+type Run int
+
+// What is known about the run of a request.
+const (
+	// NotRun promises that no target has run or will run the request.
+	NotRun Run = iota
+	// RunUnknown states that a target may have run the request.
+	RunUnknown
+	// Ran states that a target has run the request.
+	Ran
+)
+
+// String returns the name of the run state in the JSON error and its header.
+func (run Run) String() string {
+	switch run {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Entry describes one code.
+type Entry struct {
+	Code   Code
+	Name   string // kebab-case, stable
+	Status int    // HTTP status towards callers
+	Run    Run    // what the code says of the request, unless an error says otherwise
+	Retry  int    // seconds after which to try again, 0 for never
+	Text   string // one sentence
+}
+
+// Lookup returns the entry of a code, or that of Internal for an unknown one.
+func Lookup(code Code) Entry {
+	for _, entry := range entries {
+		if entry.Code == code {
+			return entry
+		}
+	}
+	return entries[len(entries)-1]
+}
+
+// Entries returns all entries in the order of their numbers.
+func Entries() []Entry {
+	return append([]Entry(nil), entries...)
+}
+
+// String returns the number and the name of the code.
+func (code Code) String() string {
+	return strconv.Itoa(int(code)) + " " + Lookup(code).Name
+}
+
+var entries = []Entry{
+	{MalformedRequest, "malformed-request", http.StatusBadRequest, NotRun, 0, "The request line, headers or body cannot be read."},
+	{BodyTooLarge, "body-too-large", http.StatusRequestEntityTooLarge, NotRun, 0, "The body is larger than the limit."},
+	{HeaderTooLarge, "header-too-large", http.StatusRequestHeaderFieldsTooLarge, NotRun, 0, "The request line and headers are larger than the limit."},
+	{AmbiguousFraming, "ambiguous-framing", http.StatusBadRequest, NotRun, 0, "The length of the body is stated in more than one way."},
+	{HostMissing, "host-missing", http.StatusBadRequest, NotRun, 0, "The request has no Host header, or several."},
+	{PathUnknown, "path-unknown", http.StatusNotFound, NotRun, 0, "No route has this path."},
+	{MethodNotAllowed, "method-not-allowed", http.StatusMethodNotAllowed, NotRun, 0, "The path does not take this method."},
+	{KeyMissing, "key-missing", http.StatusUnauthorized, NotRun, 0, "The route needs a key in an Authorization: Bearer header."},
+	{KeyUnknown, "key-unknown", http.StatusUnauthorized, NotRun, 0, "The key belongs to no team."},
+	{KeyWithdrawn, "key-withdrawn", http.StatusUnauthorized, NotRun, 0, "The key was withdrawn by a release note."},
+	{ModelUnknown, "model-unknown", http.StatusNotFound, NotRun, 0, "The release note in force has no such model."},
+	{ModelNotAllowed, "model-not-allowed", http.StatusForbidden, NotRun, 0, "The team may not use this model or route."},
+	{IdempotencyMismatch, "idempotency-mismatch", http.StatusUnprocessableEntity, NotRun, 0, "The idempotency key was used with another request."},
+	{DeadlineInvalid, "deadline-invalid", http.StatusBadRequest, NotRun, 0, "The deadline header is not a positive number of milliseconds."},
+	{BodyTimeout, "body-timeout", http.StatusRequestTimeout, NotRun, 1, "The request did not arrive whole in time."},
+	{TeamOverloaded, "team-overloaded", http.StatusTooManyRequests, NotRun, 1, "The team's queue is full."},
+	{DeadlineTooShort, "deadline-too-short", http.StatusServiceUnavailable, NotRun, 1, "The request cannot be answered before its deadline."},
+	{ShuttingDown, "shutting-down", http.StatusServiceUnavailable, NotRun, 1, "The instance is shutting down; another one takes the request."},
+	{NoTarget, "no-target", http.StatusServiceUnavailable, NotRun, 1, "No target can take the request now."},
+	{InstanceIsolated, "instance-isolated", http.StatusServiceUnavailable, NotRun, 2, "The instance cannot show that its release note is current."},
+	{StoreUnavailable, "store-unavailable", http.StatusServiceUnavailable, NotRun, 2, "The call may run at most once and the store cannot record it now."},
+	{RequestQuarantined, "request-quarantined", http.StatusUnprocessableEntity, NotRun, 600, "Targets crashed under this request; it is not run again for now."},
+	{BodyMemoryFull, "body-memory-full", http.StatusServiceUnavailable, NotRun, 1, "Too many bytes of bodies are arriving at once."},
+	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, 1, "The instance has no release note yet."},
+	{TargetFailed, "target-failed", http.StatusBadGateway, RunUnknown, 1, "The target failed after the request was sent."},
+	{AnswerTruncated, "answer-truncated", http.StatusBadGateway, Ran, 1, "The answer ended before it was whole."},
+	{TargetTimeout, "target-timeout", http.StatusGatewayTimeout, RunUnknown, 1, "The target did not answer in time."},
+	{OutcomeUnknown, "outcome-unknown", http.StatusConflict, RunUnknown, 0, "The call may have run and is not run again."},
+	{TargetRefused, "target-refused", http.StatusBadGateway, NotRun, 1, "The target refused the request before running it."},
+	{CallerGone, "caller-gone", 499, RunUnknown, 0, "The caller left before the answer was whole."},
+	{LeaseLost, "lease-lost", http.StatusConflict, NotRun, 0, "The duty's lease is held by another instance or has lapsed."},
+	{NoteConflict, "note-conflict", http.StatusConflict, NotRun, 0, "Another release note took this number first."},
+	{RowConflict, "row-conflict", http.StatusConflict, NotRun, 0, "The row has another version than expected."},
+	{WriteUnknown, "write-unknown", http.StatusServiceUnavailable, RunUnknown, 1, "The store may or may not have taken the write."},
+	{StoreDown, "store-down", http.StatusServiceUnavailable, NotRun, 1, "The store does not answer."},
+	{RowMalformed, "row-malformed", http.StatusInternalServerError, NotRun, 0, "A row of the table cannot be read."},
+	{MessageMalformed, "message-malformed", http.StatusBadRequest, NotRun, 0, "A message of another instance cannot be read."},
+	{OrderOpen, "order-open", http.StatusConflict, NotRun, 1, "An order to the target is still open."},
+	{OrderRefused, "order-refused", http.StatusConflict, NotRun, 0, "The target refused the order."},
+	{WindowFrozen, "window-frozen", http.StatusConflict, NotRun, 0, "The usage window is frozen."},
+	{RowMissing, "row-missing", http.StatusNotFound, NotRun, 0, "The table has no such row, or the store no such object."},
+	{SettingsInvalid, "settings-invalid", http.StatusBadRequest, NotRun, 0, "The settings file is not valid."},
+	{NoteInvalid, "note-invalid", http.StatusBadRequest, NotRun, 0, "The release note is not valid."},
+	{CommandInvalid, "command-invalid", http.StatusBadRequest, NotRun, 0, "The command line is not valid."},
+	{Internal, "internal", http.StatusInternalServerError, RunUnknown, 0, "The system has a fault."},
+}
