--- a/internal/protocol/code/code.go
+++ b/internal/protocol/code/code.go
@@ -66,6 +66,7 @@
 	OrderRefused
 	WindowFrozen
 	RowMissing
+	PeerUnreachable
 )
 
 // Result codes of input from operators.
@@ -175,6 +176,7 @@
 	{OrderRefused, "order-refused", http.StatusConflict, NotRun, 0, "The target refused the order."},
 	{WindowFrozen, "window-frozen", http.StatusConflict, NotRun, 0, "The usage window is frozen."},
 	{RowMissing, "row-missing", http.StatusNotFound, NotRun, 0, "The table has no such row, or the store no such object."},
+	{PeerUnreachable, "peer-unreachable", http.StatusServiceUnavailable, RunUnknown, 1, "Another instance does not answer."},
 	{SettingsInvalid, "settings-invalid", http.StatusBadRequest, NotRun, 0, "The settings file is not valid."},
 	{NoteInvalid, "note-invalid", http.StatusBadRequest, NotRun, 0, "The release note is not valid."},
 	{CommandInvalid, "command-invalid", http.StatusBadRequest, NotRun, 0, "The command line is not valid."},
--- /dev/null
+++ b/internal/transport/peer/error.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"strconv"
+
+	"connectrpc.com/connect"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+)
+
+// codeHeader carries the numbered result code beside connect's own code.
+const codeHeader = "Mangopier-Code"
+
+// encodeErrors gives the errors of the parts a connect code and codeHeader.
+func encodeErrors(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+		response, err := next(ctx, request)
+		if err == nil {
+			return response, nil
+		}
+		number := code.Of(err)
+		wire := connect.NewError(connectCode(number), err)
+		wire.Meta().Set(codeHeader, strconv.Itoa(int(number)))
+		return nil, wire
+	}
+}
+
+// decodeError returns err with the result code that the other side gave it.
+// Without one, the other side is unreachable.
+func decodeError(err error, address string) error {
+	if err == nil {
+		return nil
+	}
+	var wire *connect.Error
+	if !errors.As(err, &wire) {
+		return code.Wrap(err, code.PeerUnreachable, "call "+address)
+	}
+	number, parseErr := strconv.Atoi(wire.Meta().Get(codeHeader))
+	if parseErr == nil {
+		return code.Errorf(code.Code(number), "call %s: %s", address, wire.Message())
+	}
+	if wire.Code() == connect.CodeInvalidArgument {
+		return code.Wrap(err, code.MessageMalformed, "call "+address)
+	}
+	return code.Wrap(err, code.PeerUnreachable, "call "+address)
+}
+
+func connectCode(number code.Code) connect.Code {
+	switch number {
+	case code.MessageMalformed, code.RowMalformed:
+		return connect.CodeInvalidArgument
+	case code.RowMissing:
+		return connect.CodeNotFound
+	case code.Internal:
+		return connect.CodeInternal
+	default:
+		return connect.CodeUnavailable
+	}
+}
