--- /dev/null
+++ b/internal/coordination/admit/share.go
@@ -0,0 +1,131 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	peerSilence  = 3 * time.Second // after which a peer counts as silent
+	reserveShare = 0.25            // part of its even share that an instance without demand keeps
+)
+
+// Demand is the work that a team has at one instance, in flight and waiting.
+type Demand struct {
+	Team   string
+	Weight float64
+	Units  float64
+}
+
+// Peer is what another instance told of its demand.
+type Peer struct {
+	Name    string
+	At      time.Time // when it was heard
+	Demands []Demand
+}
+
+// exchange is what this instance may use, by the newest exchange.
+type exchange struct {
+	limit  float64            // cost units in flight
+	shares map[string]float64 // cost units per team, a part of limit
+}
+
+// Demand returns what this instance's peers have to know.
+func (scheduler *Scheduler) Demand() []Demand {
+	var demands []Demand
+	for _, team := range scheduler.teams {
+		if units := team.running + team.queued; units > 0 {
+			demands = append(demands, Demand{team.name, team.weight, units})
+		}
+	}
+	slices.SortFunc(demands, func(a, b Demand) int { return cmp.Compare(a.Team, b.Team) })
+	return demands
+}
+
+// SetCapacity sets the cost units that the whole fleet may have in flight.
+// It takes effect with the next exchange.
+func (scheduler *Scheduler) SetCapacity(units float64) {
+	scheduler.config.capacity = units
+}
+
+// Exchange divides the fleet's capacity anew among teams and instances.
+// Members counts the live instances with this one. Members that are not among
+// peers, or are silent, keep an even part of the capacity for themselves.
+func (scheduler *Scheduler) Exchange(now time.Time, members int, peers []Peer) {
+	heard := make([][]Demand, 0, len(peers))
+	for _, peer := range peers {
+		if now.Sub(peer.At) <= peerSilence {
+			heard = append(heard, peer.Demands)
+		}
+	}
+	members = max(members, len(heard)+1)
+	even := scheduler.config.capacity / float64(members)
+	pool := even * float64(len(heard)+1)
+	scheduler.exchange = divide(pool, even, scheduler.Demand(), heard)
+	for name, team := range scheduler.teams {
+		scheduler.reweigh(team, team.weight, scheduler.exchange.shares[name])
+	}
+}
+
+// divide gives each team a weighted max-min fair part of the pool, and this
+// instance its part of that in proportion to its own demand of the team. What
+// no team asks for is divided evenly.
+func divide(pool, even float64, own []Demand, peers [][]Demand) exchange {
+	total := sum(own, peers)
+	parts, rest := maxMin(pool, total)
+	result := exchange{shares: make(map[string]float64, len(own))}
+	for _, demand := range own {
+		share := parts[demand.Team] * demand.Units / total[demand.Team].Units
+		result.shares[demand.Team] = share
+		result.limit += share
+	}
+	result.limit += rest / float64(len(peers)+1)
+	result.limit = max(result.limit, even*reserveShare)
+	return result
+}
+
+func sum(own []Demand, peers [][]Demand) map[string]Demand {
+	total := make(map[string]Demand, len(own))
+	add := func(demands []Demand) {
+		for _, demand := range demands {
+			if demand.Units <= 0 {
+				continue
+			}
+			entry := total[demand.Team]
+			entry.Team = demand.Team
+			entry.Units += demand.Units
+			entry.Weight = max(entry.Weight, demand.Weight)
+			total[demand.Team] = entry
+		}
+	}
+	add(own)
+	for _, demands := range peers {
+		add(demands)
+	}
+	return total
+}
+
+// maxMin returns the weighted max-min fair part of each team, and what is
+// left when all have what they ask for.
+func maxMin(pool float64, total map[string]Demand) (map[string]float64, float64) {
+	demands, weights := make([]Demand, 0, len(total)), 0.0
+	for _, demand := range total {
+		if demand.Weight <= 0 {
+			demand.Weight = 1
+		}
+		demands = append(demands, demand)
+		weights += demand.Weight
+	}
+	slices.SortFunc(demands, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(a.Units/a.Weight, b.Units/b.Weight), cmp.Compare(a.Team, b.Team))
+	})
+	parts := make(map[string]float64, len(demands))
+	for _, demand := range demands {
+		part := min(demand.Units, pool*demand.Weight/weights)
+		parts[demand.Team] = part
+		pool -= part
+		weights -= demand.Weight
+	}
+	return parts, max(0, pool)
+}
