--- /dev/null
+++ b/internal/coordination/usage/copy.go
@@ -0,0 +1,214 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+)
+
+// Start copies what Record counts until ctx ends. The channel gives nil when
+// all copies have ended.
+func (meter *Meter) Start(ctx context.Context) <-chan error {
+	ended := make(chan error, meter.settings.workers)
+	for worker := range meter.settings.workers {
+		go func() {
+			meter.work(ctx, worker == 0)
+			ended <- nil
+		}()
+	}
+	result := make(chan error, 1)
+	go func() {
+		var errs []error
+		for range meter.settings.workers {
+			errs = append(errs, <-ended)
+		}
+		result <- errors.Join(errs...)
+	}()
+	return result
+}
+
+// work runs one copy after another. One worker sends the heartbeats.
+func (meter *Meter) work(ctx context.Context, beats bool) {
+	for ctx.Err() == nil {
+		if meter.await(ctx, beats) {
+			meter.copyRound(ctx)
+		}
+	}
+}
+
+func (meter *Meter) await(ctx context.Context, beats bool) bool {
+	var beat <-chan time.Time
+	if beats {
+		timer := time.NewTimer(meter.jitter(meter.settings.heartbeat))
+		defer timer.Stop()
+		beat = timer.C
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-beat:
+		return true
+	case <-meter.wake:
+		return true
+	}
+}
+
+// copyRound copies all that was counted before it began. The round is replaced
+// first, so that each record that waits for it is in a tally by then.
+func (meter *Meter) copyRound(ctx context.Context) {
+	round, atMS := meter.beginRound()
+	batches := meter.changes(atMS)
+	holder, err := meter.place(ctx, batches)
+	if err != nil {
+		meter.returnChanges(batches)
+	}
+	meter.endRound(round)
+	round.err = err
+	close(round.done)
+	meter.degraded.Store(err != nil)
+	if err == nil {
+		meter.follow(ctx, holder)
+	}
+}
+
+// beginRound returns the round to copy and the time up to which all counts are
+// in it or confirmed. Counts of a round that fails wait for a copy again.
+func (meter *Meter) beginRound() (*round, int64) {
+	meter.mu.Lock()
+	defer meter.mu.Unlock()
+	now := time.Now().UnixMilli()
+	atMS := now
+	for _, began := range meter.rounds {
+		atMS = min(atMS, began)
+	}
+	round := meter.pending.Swap(newRound())
+	meter.rounds[round] = now
+	return round, atMS
+}
+
+func (meter *Meter) endRound(round *round) {
+	meter.mu.Lock()
+	defer meter.mu.Unlock()
+	delete(meter.rounds, round)
+}
+
+// changes returns what changed since the last copy, or an empty batch of the
+// current window.
+func (meter *Meter) changes(atMS int64) []Batch {
+	var batches []Batch
+	for _, tally := range meter.unsettled() {
+		if lines := tally.takeDirty(); len(lines) > 0 {
+			batches = append(batches, meter.batch(tally.window, lines, atMS))
+		}
+	}
+	if len(batches) == 0 {
+		batches = append(batches, meter.batch(meter.current.Load().window, nil, atMS))
+	}
+	return batches
+}
+
+func (meter *Meter) returnChanges(batches []Batch) {
+	for _, tally := range meter.unsettled() {
+		for _, batch := range batches {
+			if batch.Window == tally.window {
+				tally.markDirty(batch.Lines)
+			}
+		}
+	}
+}
+
+// place gives batches to the first replica that takes them, all within the
+// copy timeout.
+func (meter *Meter) place(ctx context.Context, batches []Batch) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, meter.settings.copyTimeout)
+	defer cancel()
+	var last error
+	for i, replica := range meter.replicas {
+		holder, err := meter.try(ctx, replica, len(meter.replicas)-i, batches)
+		if err == nil {
+			return holder, nil
+		}
+		last = err
+	}
+	meter.settings.logger.Warn().Err(last).Msg("no replica takes a copy")
+	return "", code.Wrap(last, code.WriteUnknown, "no replica takes a copy")
+}
+
+// try leaves an equal part of the remaining time to each later replica.
+func (meter *Meter) try(ctx context.Context, replica Replica, left int, batches []Batch) (string, error) {
+	deadline, _ := ctx.Deadline()
+	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/time.Duration(left))
+	defer cancel()
+	started := time.Now()
+	holder, err := replica.Copy(ctx, batches)
+	meter.metrics.copySeconds.Observe(time.Since(started).Seconds())
+	return holder, err
+}
+
+// follow gives a new holder all figures that are not settled, since the one
+// before it may be lost.
+func (meter *Meter) follow(ctx context.Context, holder string) {
+	meter.mu.Lock()
+	changed := holder != meter.holder
+	meter.holder = holder
+	meter.mu.Unlock()
+	if !changed {
+		return
+	}
+	batches := meter.whole()
+	placed, err := meter.place(ctx, batches)
+	if err != nil || placed != holder {
+		meter.returnChanges(batches)
+	}
+}
+
+// whole returns all figures that are not settled. They say nothing of the time
+// up to which they are complete.
+func (meter *Meter) whole() []Batch {
+	var batches []Batch
+	for _, tally := range meter.unsettled() {
+		batches = append(batches, meter.batch(tally.window, tally.lines(), 0))
+	}
+	return batches
+}
+
+// Handoff ends all windows and gives their final figures to a replica, so that
+// the instance can end. It tries until ctx ends. Call it after the last answer.
+func (meter *Meter) Handoff(ctx context.Context) error {
+	meter.close(meter.current.Load().window)
+	for {
+		batches := meter.closed()
+		_, err := meter.place(ctx, batches)
+		if err == nil {
+			return nil
+		}
+		timer := time.NewTimer(meter.jitter(meter.settings.copyTimeout))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return err
+		}
+	}
+}
+
+// closed returns the final batches of all windows but the one that was opened
+// by closing them.
+func (meter *Meter) closed() []Batch {
+	current := meter.current.Load().window
+	var batches []Batch
+	for _, tally := range meter.unsettled() {
+		if tally.window < current {
+			batches = append(batches, meter.final(tally.window, tally))
+		}
+	}
+	return batches
+}
+
+func (meter *Meter) jitter(delay time.Duration) time.Duration {
+	meter.mu.Lock()
+	defer meter.mu.Unlock()
+	return delay/2 + time.Duration(meter.random.Int64N(int64(delay)))
+}
--- /dev/null
+++ b/internal/coordination/usage/usage_test.go
@@ -0,0 +1,16 @@
+package usage_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	_ "pgregory.net/rapid" // registers rapid.seed
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
