--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -179,7 +179,6 @@
 	if !ok {
 		return
 	}
-	//nolint:contextcheck // the connection's context takes the place of the engine's
 	server.handler.ServeHTTP(writer{response}, r.WithContext(guard.ctx))
 }
 
