--- /dev/null
+++ b/internal/transport/back/client_test.go
@@ -0,0 +1,77 @@
+package back_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"mangopier.example/mangopier/internal/protocol/engine"
+	"mangopier.example/mangopier/internal/transport/back"
+)
+
+func TestNothingListensIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = back.New().Do(context.Background(), &back.Call{Address: address, Method: http.MethodPost, Path: "/"})
+	wantState(t, err, back.NotSent)
+}
+
+// A kept connection that the target closes as the next call arrives is where
+// the standard transport would send a call again by itself.
+func TestCallsAreNeverReplayed(t *testing.T) {
+	for _, call := range []back.Call{
+		{Method: http.MethodPost, Path: "/book", Body: []byte("x")},
+		{Method: http.MethodPost, Path: "/book", Body: []byte("x"), Repeatable: true},
+		{Method: http.MethodPost, Path: "/book", Body: []byte("x"), Repeatable: true, Header: http.Header{"Idempotency-Key": {"k"}}},
+		{Method: http.MethodPost, Path: "/book", Header: http.Header{"X-Idempotency-Key": {"k"}}},
+	} {
+		var runs atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if runs.Add(1) > 1 {
+				panic(http.ErrAbortHandler)
+			}
+			w.WriteHeader(http.StatusOK)
+		}))
+		client := back.New()
+		call.Address = server.Listener.Addr().String()
+		answer, err := client.Do(context.Background(), &call)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+		_, err = client.Do(context.Background(), &call)
+		wantState(t, err, back.MayHaveRun)
+		if got := runs.Load(); got != 2 {
+			t.Errorf("%+v: two calls arrived %d times", call, got)
+		}
+		server.Close()
+	}
+}
+
+func TestCrossedAnswerIsDropped(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(engine.HeaderAttempt, "another")
+	}))
+	defer server.Close()
+	call := &back.Call{Address: server.Listener.Addr().String(), Method: http.MethodGet, Path: "/", Attempt: "mine", Repeatable: true}
+	_, err := back.New().Do(context.Background(), call)
+	wantState(t, err, back.MayHaveRun)
+}
+
+func wantState(t *testing.T, err error, want back.State) {
+	t.Helper()
+	var failure *back.Failure
+	if !errors.As(err, &failure) || failure.State != want {
+		t.Fatalf("got %v, want state %v", err, want)
+	}
+}
