--- /dev/null
+++ b/internal/coordination/feed/head.go
@@ -0,0 +1,82 @@
+package feed
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/go-json-experiment/json"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/note"
+)
+
+// Keys of rows and objects.
+const (
+	HeadKey       = "note/head"
+	logPrefix     = "note/log/"
+	notePrefix    = "note/object/"
+	catalogPrefix = "note/catalog/"
+)
+
+const hashHexDigits = 64
+
+// Head is the row that accepts a release note. The same row lies under
+// HeadKey, for the newest note, and under LogKey of its number.
+type Head struct {
+	Number      uint64 `json:"number"`
+	NoteHash    string `json:"note-hash"`
+	CatalogHash string `json:"catalog-hash"`
+	ParentHash  string `json:"parent-hash"` // hash of the note before, empty for the first
+	Nonce       string `json:"nonce"`       // of the publisher's attempt
+}
+
+// LogKey returns the key of the row that accepted the note with a number.
+func LogKey(number uint64) string {
+	return fmt.Sprintf("%s%020d", logPrefix, number)
+}
+
+// Encode returns the head as JSON.
+func (head Head) Encode() ([]byte, error) {
+	return json.Marshal(head)
+}
+
+// DecodeHead reads what Encode wrote. Errors have code.RowMalformed.
+func DecodeHead(data []byte) (Head, error) {
+	var head Head
+	if err := json.Unmarshal(data, &head, json.RejectUnknownMembers(true)); err != nil {
+		return Head{}, code.Wrap(err, code.RowMalformed, "decode head")
+	}
+	if err := head.check(); err != nil {
+		return Head{}, err
+	}
+	return head, nil
+}
+
+func (head Head) check() error {
+	first := head.Number == 1
+	switch {
+	case head.Number == 0:
+		return malformed("head has no number")
+	case !isHash(head.NoteHash) || !isHash(head.CatalogHash):
+		return malformed("head %d has a malformed hash", head.Number)
+	case first != (head.ParentHash == "") || !first && !isHash(head.ParentHash):
+		return malformed("head %d has a malformed parent hash", head.Number)
+	default:
+		return nil
+	}
+}
+
+func isHash(text string) bool {
+	return len(text) == hashHexDigits && strings.Trim(text, "0123456789abcdef") == ""
+}
+
+func checkHash(data []byte, want string) error {
+	if got := note.Hash(data); got != want {
+		return malformed("content has hash %s, not %s", got, want)
+	}
+	return nil
+}
+
+func malformed(format string, args ...any) error {
+	return code.Errorf(code.RowMalformed, format, args...)
+}
