--- /dev/null
+++ b/internal/transport/relay/attempt.go
@@ -0,0 +1,267 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"mangopier.example/mangopier/internal/coordination/health"
+	"mangopier.example/mangopier/internal/coordination/retry"
+	"mangopier.example/mangopier/internal/coordination/route"
+	"mangopier.example/mangopier/internal/protocol/chat"
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/engine"
+	"mangopier.example/mangopier/internal/protocol/note"
+	"mangopier.example/mangopier/internal/transport/back"
+	"mangopier.example/mangopier/internal/transport/front"
+)
+
+var (
+	errSilent    = errors.New("the connection to the target is silent")
+	errTruncated = errors.New("the answer ended before it was whole")
+)
+
+// run sends an exchange to targets until its answer is whole or the policy
+// gives up.
+func (relay *Relay) run(ctx context.Context, exchange *exchange) error {
+	relay.policy.Fresh()
+	for {
+		failure := relay.try(ctx, exchange)
+		if failure == nil {
+			return nil
+		}
+		decision := relay.policy.Decide(*failure)
+		if decision.Action == retry.Answer || !pause(ctx, decision.Delay) {
+			return relay.giveUp(ctx, exchange, decision.Err, failure)
+		}
+		relay.metrics.retries.Inc()
+	}
+}
+
+// giveUp ends an exchange without a whole answer.
+func (relay *Relay) giveUp(ctx context.Context, exchange *exchange, err error, failure *retry.Attempt) error {
+	if err == nil {
+		err = code.Wrap(failure.Err, code.TargetTimeout, "the request ended while it waited for another target")
+	}
+	if exchange.progress.tokens > 0 || exchange.progress.begun {
+		relay.record(ctx, exchange)
+	}
+	if !exchange.progress.begun {
+		return err
+	}
+	if failure.CallerGone {
+		return &begunError{err}
+	}
+	if !code.Is(err, code.AnswerTruncated) {
+		err = code.Wrap(err, code.AnswerTruncated, "answer")
+	}
+	writeEvent(exchange.w, front.Body(err))
+	return &begunError{err}
+}
+
+// try makes one attempt at a target. It returns nil when the answer is whole.
+func (relay *Relay) try(ctx context.Context, exchange *exchange) *retry.Attempt {
+	exchange.tries++
+	view := relay.targets.View()
+	choice, err := relay.pick(view, exchange)
+	if err != nil {
+		return relay.attemptOf(ctx, exchange, retry.NotSent, err)
+	}
+	exchange.ask.Exclude = append(exchange.ask.Exclude, choice.Target.ID)
+	ctx, span := relay.tracer.Start(ctx, "target", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("target", choice.Target.ID)))
+	defer span.End()
+	view.Start(choice)
+	defer choice.Done()
+	failure := relay.send(ctx, exchange, view, choice)
+	relay.poison.End(exchange.fingerprint, choice.Target.ID, failure == nil)
+	if failure != nil {
+		span.RecordError(failure.Err)
+	}
+	return failure
+}
+
+// pick chooses a target that may run the request beside what it runs.
+func (relay *Relay) pick(view *route.View, exchange *exchange) (route.Choice, error) {
+	ask := exchange.ask
+	for {
+		choice, err := relay.picker.Pick(view, &ask)
+		if err != nil || relay.poison.Begin(exchange.fingerprint, choice.Target.ID) {
+			return choice, err
+		}
+		ask.Exclude = append(ask.Exclude[:len(ask.Exclude):len(ask.Exclude)], choice.Target.ID)
+	}
+}
+
+// flight is one attempt under way, with what is to be told about its end.
+type flight struct {
+	id      uint64
+	choice  route.Choice
+	started time.Time
+	first   time.Duration // until the first byte, 0 before it
+}
+
+func (relay *Relay) send(ctx context.Context, exchange *exchange, view *route.View, choice route.Choice) *retry.Attempt {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	flight := &flight{id: relay.sequence.Add(1), choice: choice, started: time.Now()}
+	relay.attempts.Store(flight.id, cancel)
+	defer relay.attempts.Delete(flight.id)
+	relay.health.Sent(choice.Target.ID, flight.id, choice.Delay)
+	defer relay.health.Ended(choice.Target.ID, flight.id)
+
+	body, err := exchange.bodyFor()
+	if err != nil {
+		return relay.attemptOf(ctx, exchange, retry.NotSent, err)
+	}
+	view.Sent(choice, exchange.ask.Blocks)
+	answer, err := relay.client.Do(ctx, &back.Call{
+		Address:    choice.Target.Address,
+		Method:     http.MethodPost,
+		Path:       "/v1/chat/completions",
+		Header:     relay.targetHeader(ctx, exchange.caller.team.Name),
+		Body:       body,
+		Attempt:    relay.prefix + strconv.FormatUint(flight.id, 10),
+		Repeatable: true,
+	})
+	if err != nil {
+		return relay.failed(ctx, exchange, flight, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.Refused || answer.Status != http.StatusOK {
+		return relay.refused(ctx, exchange, flight, answer)
+	}
+	if err := relay.deliver(ctx, exchange, flight, answer); err != nil {
+		return relay.failed(ctx, exchange, flight, err)
+	}
+	relay.observe(flight, health.Success)
+	return nil
+}
+
+func (relay *Relay) deliver(ctx context.Context, exchange *exchange, flight *flight, answer *back.Answer) error {
+	if exchange.request.Stream {
+		return relay.copyStream(ctx, exchange, flight, answer.Body)
+	}
+	return relay.copyWhole(ctx, exchange, flight, answer.Body)
+}
+
+// bodyFor returns the body for the next attempt, which resumes an answer that
+// the caller has a part of.
+func (exchange *exchange) bodyFor() ([]byte, error) {
+	if exchange.progress.tokens == 0 {
+		return exchange.body, nil
+	}
+	request := *exchange.request
+	request.Resume = &chat.Resume{
+		ID: exchange.progress.id, Tokens: exchange.progress.tokens, Text: exchange.progress.text.String(),
+	}
+	return request.Encode()
+}
+
+// failed tells health and poison detection of an attempt that broke.
+func (relay *Relay) failed(ctx context.Context, exchange *exchange, flight *flight, err error) *retry.Attempt {
+	state := retry.MayHaveRun
+	var failure *back.Failure
+	if errors.As(err, &failure) {
+		state = retry.State(failure.State)
+	}
+	attempt := relay.attemptOf(ctx, exchange, state, err)
+	if attempt.CallerGone || deadlinePassed(ctx) {
+		return attempt
+	}
+	relay.observe(flight, health.Failure)
+	if state != retry.NotSent && !attempt.Timeout {
+		for range relay.poison.Crashed(flight.choice.Target.ID) {
+			relay.metrics.suspects.Inc()
+		}
+	}
+	relay.logger.Debug().Str("target", flight.choice.Target.ID).Err(err).Msg("attempt failed")
+	return attempt
+}
+
+func (relay *Relay) refused(ctx context.Context, exchange *exchange, flight *flight, answer *back.Answer) *retry.Attempt {
+	attempt := relay.attemptOf(ctx, exchange, retry.Ran,
+		code.Errorf(code.TargetRefused, "target answers with status %d", answer.Status))
+	attempt.Refused = answer.Refused
+	if !answer.Refused {
+		relay.observe(flight, health.Failure)
+	}
+	return attempt
+}
+
+func (relay *Relay) attemptOf(ctx context.Context, exchange *exchange, state retry.State, err error) *retry.Attempt {
+	return &retry.Attempt{
+		State:      state,
+		Tries:      exchange.tries,
+		Repeatable: true,
+		Delivered:  exchange.progress.begun,
+		Resumable:  exchange.request.Stream,
+		CallerGone: ctx.Err() != nil && !deadlinePassed(ctx) && !errors.Is(context.Cause(ctx), errSilent),
+		Timeout:    errors.Is(context.Cause(ctx), errSilent) || deadlinePassed(ctx),
+		Deadline:   exchange.deadline,
+		Err:        err,
+	}
+}
+
+func (relay *Relay) observe(flight *flight, outcome health.Outcome) {
+	target := flight.choice.Target
+	changed := relay.health.Observe(health.Event{
+		Target: target.ID, Group: groupOf(target), Outcome: outcome,
+		FirstByte: flight.first, WorkTokens: int(flight.choice.Work.PrefillTokens),
+	})
+	if changed {
+		relay.targets.SetWeights(relay.health.Weights())
+	}
+}
+
+// heard notes that bytes came from the target.
+func (relay *Relay) heard(flight *flight) {
+	relay.health.Heard(flight.choice.Target.ID, flight.id)
+	if flight.first == 0 {
+		flight.first = time.Since(flight.started)
+		relay.metrics.firstByte.Observe(flight.first.Seconds())
+	}
+}
+
+// targetHeader returns the headers of a call to a target. Nothing of the
+// caller's own headers is among them but what is named here.
+func (relay *Relay) targetHeader(ctx context.Context, team string) http.Header {
+	header := http.Header{"Content-Type": {"application/json"}}
+	header.Set(engine.HeaderTeam, team)
+	injectTrace(ctx, header)
+	return header
+}
+
+// groupOf names the targets that a target's health is compared with.
+func groupOf(target *note.Target) string {
+	if target.Kind == note.KindService {
+		return target.DataCenter + "/" + target.Service
+	}
+	if len(target.Models) == 0 {
+		return target.DataCenter
+	}
+	return target.DataCenter + "/" + target.Models[0]
+}
+
+func deadlinePassed(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
+func pause(ctx context.Context, delay time.Duration) bool {
+	if delay <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/transport/relay/reply.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/note"
+)
+
+// begunError marks an error of an answer that the caller already has a part
+// of.
+type begunError struct{ err error }
+
+func (begun *begunError) Error() string { return begun.err.Error() }
+func (begun *begunError) Unwrap() error { return begun.err }
+
+func begun(err error) bool {
+	var mark *begunError
+	return errors.As(err, &mark)
+}
+
+func reply(w http.ResponseWriter, contentType string, body []byte) {
+	header := w.Header()
+	header.Set("Content-Type", contentType)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(body)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels lists the models that the team may use.
+func (relay *Relay) serveModels(w http.ResponseWriter, r *http.Request, catalog *note.Catalog) error {
+	if r.Method != http.MethodGet {
+		return code.Errorf(code.MethodNotAllowed, "%s is not GET", r.Method)
+	}
+	caller, err := relay.authenticate(r, catalog)
+	if err != nil {
+		return err
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, model := range catalog.Models {
+		if allowed(caller.team, model.Name) == nil {
+			list.Data = append(list.Data, modelItem{ID: model.Name, Object: "model", Created: time.Now().Unix(), OwnedBy: "mangopier"})
+		}
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		return code.Wrap(err, code.Internal, "encode models")
+	}
+	reply(w, "application/json", body)
+	return nil
+}
--- /dev/null
+++ b/internal/transport/relay/span.go
@@ -0,0 +1,35 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+)
+
+var propagator = propagation.TraceContext{}
+
+// startSpan begins the span of a request, within the caller's trace.
+func (relay *Relay) startSpan(r *http.Request) (context.Context, trace.Span) {
+	ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	return relay.tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("path", r.URL.Path)))
+}
+
+func endSpan(span trace.Span, err error) {
+	if err == nil {
+		return
+	}
+	span.SetAttributes(attribute.Int("code", int(code.Of(err))))
+	span.SetStatus(codes.Error, code.Lookup(code.Of(err)).Name)
+}
+
+// injectTrace passes the trace on to a target.
+func injectTrace(ctx context.Context, header http.Header) {
+	propagator.Inject(ctx, propagation.HeaderCarrier(header))
+}
