Let instances collect usage figures from one another

The instance that reports a window needs the figures of all others and of the copies that they hold; the messages had only the copy.

--- a/internal/protocol/peerpb/peer.connect.go
+++ b/internal/protocol/peerpb/peer.connect.go
@@ -39,6 +39,9 @@
 	PeerServiceStatusProcedure = "/mangopier.peer.v1.PeerService/Status"
 	// PeerServiceCopyUsageProcedure is the fully-qualified name of the PeerService's CopyUsage RPC.
 	PeerServiceCopyUsageProcedure = "/mangopier.peer.v1.PeerService/CopyUsage"
+	// PeerServiceCollectUsageProcedure is the fully-qualified name of the PeerService's CollectUsage
+	// RPC.
+	PeerServiceCollectUsageProcedure = "/mangopier.peer.v1.PeerService/CollectUsage"
 	// PeerServiceDropTicketProcedure is the fully-qualified name of the PeerService's DropTicket RPC.
 	PeerServiceDropTicketProcedure = "/mangopier.peer.v1.PeerService/DropTicket"
 	// PeerServiceFetchNoteProcedure is the fully-qualified name of the PeerService's FetchNote RPC.
@@ -53,6 +56,9 @@
 	Status(context.Context, *StatusRequest) (*StatusReply, error)
 	// CopyUsage keeps a copy of another instance's usage counters.
 	CopyUsage(context.Context, *UsageCopy) (*UsageAck, error)
+	// CollectUsage returns the usage figures that the receiver counted or holds
+	// copies of, for the instance that reports.
+	CollectUsage(context.Context, *UsageAsk) (*UsageFigures, error)
 	// DropTicket asks a former holder of a lease to give up an order ticket.
 	DropTicket(context.Context, *DropTicketRequest) (*DropTicketReply, error)
 	// FetchNote returns a release note or the whole catalog.
@@ -88,6 +94,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("CopyUsage")),
 			connect.WithClientOptions(opts...),
 		),
+		collectUsage: connect.NewClient[UsageAsk, UsageFigures](
+			httpClient,
+			baseURL+PeerServiceCollectUsageProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("CollectUsage")),
+			connect.WithClientOptions(opts...),
+		),
 		dropTicket: connect.NewClient[DropTicketRequest, DropTicketReply](
 			httpClient,
 			baseURL+PeerServiceDropTicketProcedure,
@@ -105,11 +117,12 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange   *connect.Client[State, State]
-	status     *connect.Client[StatusRequest, StatusReply]
-	copyUsage  *connect.Client[UsageCopy, UsageAck]
-	dropTicket *connect.Client[DropTicketRequest, DropTicketReply]
-	fetchNote  *connect.Client[FetchNoteRequest, FetchNoteReply]
+	exchange     *connect.Client[State, State]
+	status       *connect.Client[StatusRequest, StatusReply]
+	copyUsage    *connect.Client[UsageCopy, UsageAck]
+	collectUsage *connect.Client[UsageAsk, UsageFigures]
+	dropTicket   *connect.Client[DropTicketRequest, DropTicketReply]
+	fetchNote    *connect.Client[FetchNoteRequest, FetchNoteReply]
 }
 
 // Exchange calls mangopier.peer.v1.PeerService.Exchange.
@@ -139,6 +152,15 @@
 	return nil, err
 }
 
+// CollectUsage calls mangopier.peer.v1.PeerService.CollectUsage.
+func (c *peerServiceClient) CollectUsage(ctx context.Context, req *UsageAsk) (*UsageFigures, error) {
+	response, err := c.collectUsage.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // DropTicket calls mangopier.peer.v1.PeerService.DropTicket.
 func (c *peerServiceClient) DropTicket(ctx context.Context, req *DropTicketRequest) (*DropTicketReply, error) {
 	response, err := c.dropTicket.CallUnary(ctx, connect.NewRequest(req))
@@ -165,6 +187,9 @@
 	Status(context.Context, *StatusRequest) (*StatusReply, error)
 	// CopyUsage keeps a copy of another instance's usage counters.
 	CopyUsage(context.Context, *UsageCopy) (*UsageAck, error)
+	// CollectUsage returns the usage figures that the receiver counted or holds
+	// copies of, for the instance that reports.
+	CollectUsage(context.Context, *UsageAsk) (*UsageFigures, error)
 	// DropTicket asks a former holder of a lease to give up an order ticket.
 	DropTicket(context.Context, *DropTicketRequest) (*DropTicketReply, error)
 	// FetchNote returns a release note or the whole catalog.
@@ -196,6 +221,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("CopyUsage")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceCollectUsageHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceCollectUsageProcedure,
+		svc.CollectUsage,
+		connect.WithSchema(peerServiceMethods.ByName("CollectUsage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceDropTicketHandler := connect.NewUnaryHandlerSimple(
 		PeerServiceDropTicketProcedure,
 		svc.DropTicket,
@@ -216,6 +247,8 @@
 			peerServiceStatusHandler.ServeHTTP(w, r)
 		case PeerServiceCopyUsageProcedure:
 			peerServiceCopyUsageHandler.ServeHTTP(w, r)
+		case PeerServiceCollectUsageProcedure:
+			peerServiceCollectUsageHandler.ServeHTTP(w, r)
 		case PeerServiceDropTicketProcedure:
 			peerServiceDropTicketHandler.ServeHTTP(w, r)
 		case PeerServiceFetchNoteProcedure:
@@ -241,6 +274,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mangopier.peer.v1.PeerService.CopyUsage is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) CollectUsage(context.Context, *UsageAsk) (*UsageFigures, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mangopier.peer.v1.PeerService.CollectUsage is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) DropTicket(context.Context, *DropTicketRequest) (*DropTicketReply, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mangopier.peer.v1.PeerService.DropTicket is not implemented"))
 }
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -74,6 +74,12 @@
 	return call(ctx, client, address, callTimeout, stub.CopyUsage, usage)
 }
 
+// CollectUsage asks another instance for its usage figures.
+func (client *Client) CollectUsage(ctx context.Context, address string, ask *peerpb.UsageAsk) (*peerpb.UsageFigures, error) {
+	stub := client.stub(address, ReplyMaxBytes)
+	return call(ctx, client, address, fetchTimeout, stub.CollectUsage, ask)
+}
+
 // DropTicket asks the writer of a ticket to give it up.
 func (client *Client) DropTicket(ctx context.Context, address string, request *peerpb.DropTicketRequest) (*peerpb.DropTicketReply, error) {
 	stub := client.stub(address, RequestMaxBytes)
--- a/internal/transport/peer/handler.go
+++ b/internal/transport/peer/handler.go
@@ -33,6 +33,11 @@
 	CopyUsage(ctx context.Context, usage *peerpb.UsageCopy) (*peerpb.UsageAck, error)
 }
 
+// Collector returns usage figures to the instance that reports them.
+type Collector interface {
+	CollectUsage(ctx context.Context, ask *peerpb.UsageAsk) (*peerpb.UsageFigures, error)
+}
+
 // Dropper gives up order tickets that this instance wrote.
 type Dropper interface {
 	DropTicket(ctx context.Context, request *peerpb.DropTicketRequest) (*peerpb.DropTicketReply, error)
@@ -49,6 +54,7 @@
 	Exchanger Exchanger
 	Reporter  Reporter
 	Copier    Copier
+	Collector Collector
 	Dropper   Dropper
 	Notes     Notes
 }
@@ -91,6 +97,14 @@
 	return part.CopyUsage(ctx, usage)
 }
 
+func (service *service) CollectUsage(ctx context.Context, ask *peerpb.UsageAsk) (*peerpb.UsageFigures, error) {
+	part := service.handlers.Collector
+	if part == nil {
+		return nil, absent()
+	}
+	return part.CollectUsage(ctx, ask)
+}
+
 func (service *service) DropTicket(ctx context.Context, request *peerpb.DropTicketRequest) (*peerpb.DropTicketReply, error) {
 	part := service.handlers.Dropper
 	if part == nil {
