--- /dev/null
+++ b/cmd/mangopier/demo.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/transport/lab"
+)
+
+type demoCommand struct {
+	Listen   string        `long:"listen" default:"127.0.0.1:0" value-name:"IP:PORT" description:"address of the first entry instance, port 0 for any"`
+	For      time.Duration `long:"for" value-name:"DURATION" description:"end by itself after this time"`
+	LogLevel string        `long:"log-level" default:"info" value-name:"LEVEL" description:"debug, info, warn or error"`
+}
+
+// demoReady is the line that tells that the demo is ready.
+type demoReady struct {
+	Entries []string          `json:"entries"`
+	Keys    map[string]string `json:"keys"`
+	Metrics []string          `json:"metrics"`
+}
+
+const demoStartTimeout = 20 * time.Second
+
+// Execute runs a whole system until a signal or the given time ends it.
+func (command *demoCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	plan := lab.Demo()
+	plan.Listen = command.Listen
+	plan.Logger = newLogger(command.LogLevel)
+	startCtx, cancel := context.WithTimeout(ctx, demoStartTimeout)
+	defer cancel()
+	running, err := lab.Start(startCtx, plan)
+	if err != nil {
+		return code.Wrap(err, code.CommandInvalid, "demo")
+	}
+	defer running.Close()
+	if err := printReady(running); err != nil {
+		return err
+	}
+	awaitEnd(ctx, command.For)
+	return nil
+}
+
+func printReady(running *lab.Lab) error {
+	ready := demoReady{Keys: running.Keys}
+	for _, instance := range running.Entries {
+		ready.Entries = append(ready.Entries, "http://"+instance.Callers())
+		ready.Metrics = append(ready.Metrics, "http://"+instance.Inner()+"/metrics")
+	}
+	line, err := json.Marshal(ready, json.Deterministic(true))
+	if err != nil {
+		return code.Wrap(err, code.Internal, "encode ready line")
+	}
+	fmt.Println(string(line))
+	return nil
+}
+
+// awaitEnd returns when ctx ends or, where a time is given, after that time.
+func awaitEnd(ctx context.Context, after time.Duration) {
+	if after <= 0 {
+		<-ctx.Done()
+		return
+	}
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/cmd/mangopier/main.go
+++ b/cmd/mangopier/main.go
@@ -1,8 +1,83 @@
 // Command mangopier serves language models and their companion services.
 package main
 
-import "os"
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+)
+
+// version is set by the linker at a release.
+var version = "development"
+
+// Exit statuses of the program.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
 
 func main() {
-	os.Exit(1)
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	parser := flags.NewNamedParser("mangopier", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Serves language models and their companion services on a limited fleet."
+	if err := addCommands(parser); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	_, err := parser.ParseArgs(args)
+	return statusOf(err)
+}
+
+// statusOf tells errors of the command line, which flags reports, from those
+// of the commands.
+func statusOf(err error) int {
+	if err == nil {
+		return 0
+	}
+	var fault *flags.Error
+	if !errors.As(err, &fault) {
+		fmt.Fprintf(os.Stderr, "mangopier: %s: %v\n", code.Of(err), err)
+		return exitFailure
+	}
+	if fault.Type == flags.ErrHelp {
+		fmt.Println(fault.Message)
+		return 0
+	}
+	fmt.Fprintf(os.Stderr, "mangopier: %s: %v\n", code.CommandInvalid, fault)
+	return exitUsage
+}
+
+func addCommands(parser *flags.Parser) error {
+	commands := []struct {
+		name, short, long string
+		data              any
+	}{
+		{"serve", "Run one entry instance", "Runs one entry instance until it is told to stop by SIGTERM or SIGINT.", &serveCommand{}},
+		{"demo", "Run a whole system on loopback", "Runs a stand-in platform, stand-in targets and entry instances in this process.", &demoCommand{}},
+		{"version", "Print the version", "Prints the version.", &versionCommand{}},
+	}
+	for _, command := range commands {
+		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
+			return err
+		}
+	}
+	if err := addNoteCommands(parser); err != nil {
+		return err
+	}
+	return addSettingsCommands(parser)
+}
+
+type versionCommand struct{}
+
+// Execute prints the version.
+func (*versionCommand) Execute([]string) error {
+	fmt.Println(version)
+	return nil
 }
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,136 @@
+// Command standin serves one stand-in for an outside system, so that each
+// piece of a system can run as a process of its own.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/infra"
+	"mangopier.example/mangopier/internal/protocol/jsonc"
+	"mangopier.example/mangopier/internal/protocol/note"
+	"mangopier.example/mangopier/internal/transport/fakes"
+	"mangopier.example/mangopier/internal/transport/lab"
+)
+
+type options struct {
+	Listen string `long:"listen" default:"127.0.0.1:0" value-name:"IP:PORT" description:"address to serve on"`
+}
+
+type platformCommand struct {
+	options
+	Lists string `long:"lists" value-name:"FILE" description:"instances and targets of the platform's lists, JSON with comments"`
+}
+
+type engineCommand struct {
+	options
+	ID           string        `long:"id" default:"engine-1" description:"ID of the engine"`
+	Model        string        `long:"model" default:"layout" description:"model that it serves"`
+	Version      string        `long:"model-version" default:"v1" description:"version of the model"`
+	Role         string        `long:"role" default:"mixed" choice:"mixed" choice:"prefill" choice:"decode" description:"role"`
+	PrefillTPS   float64       `long:"prefill-tps" default:"20000" description:"prompt tokens per second"`
+	DecodeTPS    float64       `long:"decode-tps" default:"2000" description:"generated tokens per second"`
+	Slots        int           `long:"slots" default:"32" description:"answers that run at once"`
+	LoadLag      time.Duration `long:"load-lag" default:"200ms" description:"age of load reports"`
+	IgnoresFence bool          `long:"ignores-fence" description:"take orders whatever their fencing number"`
+}
+
+type serviceCommand struct {
+	options
+	Delay time.Duration `long:"delay" default:"2ms" description:"time that a call takes"`
+}
+
+func main() {
+	parser := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
+	for _, command := range []struct {
+		name, text string
+		data       any
+	}{
+		{"platform", "Serve a platform", &platformCommand{}},
+		{"engine", "Serve a model engine", &engineCommand{}},
+		{"service", "Serve a plain service", &serviceCommand{}},
+	} {
+		if _, err := parser.AddCommand(command.name, command.text, command.text+".", command.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	_, err := parser.Parse()
+	var fault *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &fault) && fault.Type == flags.ErrHelp:
+		fmt.Println(fault.Message)
+	default:
+		fmt.Fprintf(os.Stderr, "standin: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// lists are the platform's lists as a file gives them.
+type lists struct {
+	Instances []infra.Instance `json:"instances"`
+	Targets   []infra.Target   `json:"targets"`
+}
+
+// Execute serves a platform.
+func (command *platformCommand) Execute([]string) error {
+	platform := fakes.NewPlatform()
+	if command.Lists != "" {
+		data, err := os.ReadFile(command.Lists)
+		if err != nil {
+			return code.Wrap(err, code.CommandInvalid, "lists")
+		}
+		var given lists
+		if err := jsonc.Decode(data, &given); err != nil {
+			return code.Wrap(err, code.CommandInvalid, "lists")
+		}
+		for _, instance := range given.Instances {
+			platform.SetInstance(instance)
+		}
+		for _, target := range given.Targets {
+			platform.SetTarget(target)
+		}
+	}
+	return serve(command.Listen, platform.Handler())
+}
+
+// Execute serves an engine.
+func (command *engineCommand) Execute([]string) error {
+	config := lab.StandardEngine(command.ID, command.Model)
+	config.Models = lab.Model(command.Model, command.Version)
+	config.Role = note.Role(command.Role)
+	config.PrefillTPS, config.DecodeTPS = command.PrefillTPS, command.DecodeTPS
+	config.Slots, config.LoadLag = command.Slots, command.LoadLag
+	config.IgnoresFence = command.IgnoresFence
+	return serve(command.Listen, fakes.NewEngine(config).Handler())
+}
+
+// Execute serves a plain service.
+func (command *serviceCommand) Execute([]string) error {
+	service := &fakes.Service{Delay: command.Delay}
+	return serve(command.Listen, service.Handler())
+}
+
+// serve prints the address and serves until a signal comes.
+func serve(address string, handler http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	server, err := fakes.Listen(address, handler)
+	if err != nil {
+		return code.Wrap(err, code.CommandInvalid, "listen")
+	}
+	fmt.Println(server.Address())
+	<-ctx.Done()
+	server.Close()
+	return server.Err()
+}
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -50,11 +50,12 @@
 	Version string `json:"version"`
 }
 
-// CacheEvent tells that prompt blocks entered or left a target's prefix cache.
+// CacheEvent tells that a prompt block entered or left a target's prefix
+// cache.
 type CacheEvent struct {
-	Sequence uint64   `json:"sequence"`
-	Added    []uint64 `json:"added,omitempty"`
-	Removed  []uint64 `json:"removed,omitempty"`
+	Sequence uint64 `json:"sequence"` // without gaps where none is lost
+	Block    uint64 `json:"block"`
+	Evicted  bool   `json:"evicted,omitempty"`
 }
 
 // CacheEvents is the answer to a call for events; Next is where to go on.
--- /dev/null
+++ b/internal/transport/entry/build.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"mangopier.example/mangopier/internal/coordination/admit"
+	"mangopier.example/mangopier/internal/coordination/feed"
+	"mangopier.example/mangopier/internal/coordination/gossip"
+	"mangopier.example/mangopier/internal/coordination/health"
+	"mangopier.example/mangopier/internal/coordination/once"
+	"mangopier.example/mangopier/internal/coordination/poison"
+	"mangopier.example/mangopier/internal/coordination/retry"
+	"mangopier.example/mangopier/internal/coordination/route"
+	"mangopier.example/mangopier/internal/coordination/usage"
+	"mangopier.example/mangopier/internal/protocol/conf"
+	"mangopier.example/mangopier/internal/transport/back"
+	"mangopier.example/mangopier/internal/transport/front"
+	"mangopier.example/mangopier/internal/transport/peer"
+	"mangopier.example/mangopier/internal/transport/plat"
+	"mangopier.example/mangopier/internal/transport/relay"
+)
+
+const (
+	serviceBacklogCalls = 64.0 // calls in flight per plain service
+	tableCopyInterval   = time.Second
+	innerBodyBytes      = 64 << 20
+)
+
+// queues are the admission of requests for engines and for services.
+type queues struct {
+	engines  admit.Admitter
+	services admit.Admitter
+}
+
+func (instance *Instance) build() {
+	settings := instance.settings
+	instance.platform = plat.New(settings.Platform)
+	instance.peers = peer.NewClient()
+	instance.client = back.New(back.WithDialTimeout(conf.Milliseconds(settings.Timeouts.DialMS)))
+	instance.buildMembers()
+	instance.buildUsage()
+	instance.buildRelay()
+	instance.watcher = newWatcher(instance)
+	instance.buildServers()
+}
+
+func (instance *Instance) buildMembers() {
+	settings := instance.settings
+	self := gossip.Instance{ID: settings.Instance, DataCenter: settings.DataCenter, Address: settings.PeerListen}
+	instance.members = gossip.New(self, lister{instance.platform}, instance.peers,
+		gossip.WithLogger(instance.logger), gossip.WithRegisterer(instance.registry))
+	instance.feed = feed.New(instance.platform,
+		feed.WithPeers(instance.members), feed.WithLogger(instance.logger), feed.WithRegisterer(instance.registry))
+	instance.members.Follow(instance.feed)
+}
+
+func (instance *Instance) buildUsage() {
+	settings := instance.settings
+	opts := []usage.Option{
+		usage.WithLogger(instance.logger),
+		usage.WithWindow(conf.Milliseconds(settings.Usage.WindowMS)),
+		usage.WithCopyTimeout(conf.Milliseconds(settings.Usage.CopyMS)),
+	}
+	instance.holder = usage.NewHolder(settings.Instance, append(opts, usage.WithRegisterer(instance.registry))...)
+	distant := &replica{instance: instance, distant: true}
+	near := &replica{instance: instance}
+	inTable := usage.NewTableCopy(instance.platform, tableCopyInterval)
+	instance.meter = usage.NewMeter(settings.Instance, distant,
+		append(opts, usage.WithFallbacks(near, inTable), usage.WithRegisterer(instance.registry))...)
+}
+
+func (instance *Instance) buildRelay() {
+	settings := instance.settings
+	distances := map[string]time.Duration{}
+	for name, delay := range settings.DistancesMS {
+		distances[name] = time.Duration(delay * float64(time.Millisecond))
+	}
+	instance.targets = route.NewTable(route.WithInstance(settings.Instance), route.WithDistances(distances))
+	silence := conf.Milliseconds(settings.Timeouts.SilenceMS)
+	instance.health = health.New(health.WithSilence(silence, time.Second))
+	instance.poison = poison.New()
+	instance.guard = once.New(instance.platform, once.WithObjects(instance.platform),
+		once.WithLogger(instance.logger), once.WithRegisterer(instance.registry))
+	instance.queues = queues{engines: instance.admitter(), services: instance.admitter()}
+	instance.relay = relay.New(settings.Instance, instance.feed, instance.targets, instance.client,
+		relay.WithPicker(pickerFor(settings.Policy.Routing)),
+		relay.WithAdmission(instance.queues.engines, instance.queues.services),
+		relay.WithPolicy(retry.New(retry.WithTries(settings.Limits.Attempts))),
+		relay.WithHealth(instance.health),
+		relay.WithPoison(instance.poison),
+		relay.WithGuard(instance.guard),
+		relay.WithMeter(instance.meter),
+		relay.WithTimeout(conf.Milliseconds(settings.Timeouts.RequestMS)),
+		relay.WithLogger(instance.logger),
+		relay.WithTracer(instance.tracer),
+		relay.WithRegisterer(instance.registry),
+	)
+}
+
+func pickerFor(policy string) route.Picker {
+	switch policy {
+	case "round-robin":
+		return &route.RoundRobin{}
+	case "random":
+		return &route.Random{}
+	case "least-outstanding":
+		return &route.LeastOutstanding{}
+	default:
+		return route.New()
+	}
+}
+
+// queueUnits bounds the cost that waits per team, next to the bound on
+// requests.
+const queueUnits = 1e6
+
+func (instance *Instance) admitter() admit.Admitter {
+	limits := instance.settings.Limits
+	queue := admit.WithQueue(limits.QueueRequests, queueUnits)
+	switch instance.settings.Policy.Admission {
+	case "first-come":
+		return admit.NewFirstCome(queue)
+	case "token-bucket":
+		return admit.NewTokenBucket(limits.BacklogSeconds, limits.BacklogSeconds)
+	default:
+		return admit.New(queue)
+	}
+}
+
+func (instance *Instance) buildServers() {
+	settings := instance.settings
+	limits := front.DefaultLimits()
+	limits.BodyBytes = settings.Limits.BodyBytes
+	limits.AllBodiesBytes = settings.Limits.AllBodiesBytes
+	limits.HeaderBytes = settings.Limits.HeaderBytes
+	limits.Connections = settings.Limits.Connections
+	limits.RequestTimeout = conf.Milliseconds(settings.Timeouts.ArrivalMS)
+	instance.callers = front.New(settings.Listen, instance.relay, front.WithLimits(limits))
+
+	inner := front.DefaultLimits()
+	inner.BodyBytes, inner.AllBodiesBytes, inner.WriteBytes = innerBodyBytes, 2*innerBodyBytes, 2*innerBodyBytes
+	instance.inner = front.New(settings.PeerListen, instance.innerHandler(), front.WithLimits(inner))
+}
+
+func (instance *Instance) innerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.NewHandler(peer.Handlers{
+		Exchanger: instance.members,
+		Reporter:  instance,
+		Copier:    &copier{instance: instance},
+		Collector: &copier{instance: instance},
+		Notes:     instance.feed,
+	}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(instance.registry, promhttp.HandlerOpts{}))
+	return mux
+}
--- /dev/null
+++ b/internal/transport/entry/lister.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"context"
+
+	"mangopier.example/mangopier/internal/coordination/gossip"
+	"mangopier.example/mangopier/internal/protocol/infra"
+	"mangopier.example/mangopier/internal/transport/plat"
+)
+
+// lister gives the platform's list of instances to the members.
+type lister struct {
+	platform *plat.Client
+}
+
+// List returns the instances that have not ended.
+func (lister lister) List(ctx context.Context) ([]gossip.Instance, error) {
+	listed, err := lister.platform.Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var instances []gossip.Instance
+	for _, instance := range listed {
+		if instance.Life == infra.Ended {
+			continue
+		}
+		instances = append(instances, gossip.Instance{
+			ID: instance.ID, DataCenter: instance.DataCenter, Address: instance.Peer,
+			Leaving: instance.Life == infra.Leaving,
+		})
+	}
+	return instances, nil
+}
--- /dev/null
+++ b/internal/transport/entry/watcher.go
@@ -0,0 +1,347 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mangopier.example/mangopier/internal/coordination/health"
+	"mangopier.example/mangopier/internal/coordination/route"
+	"mangopier.example/mangopier/internal/protocol/conf"
+	"mangopier.example/mangopier/internal/protocol/engine"
+	"mangopier.example/mangopier/internal/protocol/infra"
+	"mangopier.example/mangopier/internal/protocol/note"
+)
+
+const (
+	listInterval  = time.Second // between reads of the platform's list of targets
+	cacheInterval = 500 * time.Millisecond
+)
+
+// watcher keeps the table of targets in line with the catalog, the platform's
+// list and what targets report of themselves.
+type watcher struct {
+	instance *Instance
+	logger   zerolog.Logger
+	notes    chan struct{}
+	reports  chan report
+	gone     chan string
+	polls    map[string]*poll
+	listed   map[string]infra.Target
+	count    atomic.Int64
+}
+
+// poll is the polling of one target.
+type poll struct {
+	address string
+	cancel  context.CancelFunc
+	last    engine.Load
+	known   bool
+}
+
+// report is a load report on its way to the watcher.
+type report struct {
+	target string
+	load   engine.Load
+	asked  time.Time
+}
+
+func newWatcher(instance *Instance) *watcher {
+	watcher := &watcher{
+		instance: instance,
+		logger:   instance.logger.With().Str("part", "watcher").Logger(),
+		notes:    make(chan struct{}, 1),
+		reports:  make(chan report),
+		gone:     make(chan string),
+		polls:    map[string]*poll{},
+		listed:   map[string]infra.Target{},
+	}
+	instance.feed.Subscribe(func(*note.Catalog) {
+		select {
+		case watcher.notes <- struct{}{}:
+		default:
+		}
+	})
+	return watcher
+}
+
+// Start watches until ctx ends.
+func (watcher *watcher) Start(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() { ended <- watcher.run(ctx) }()
+	return ended
+}
+
+func (watcher *watcher) run(ctx context.Context) error {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	lists := make(chan []infra.Target, 1)
+	asking := false
+	for {
+		select {
+		case <-ctx.Done():
+			return watcher.end()
+		case <-watcher.notes:
+			watcher.refresh(ctx)
+		case <-ticker.C:
+			watcher.exchange()
+			if !asking {
+				asking = true
+				go func() { lists <- watcher.list(ctx) }()
+			}
+		case list := <-lists:
+			asking = false
+			watcher.take(list)
+			watcher.refresh(ctx)
+		case report := <-watcher.reports:
+			watcher.report(report)
+		}
+	}
+}
+
+// end waits for the polls, each of which is a goroutine of the watcher.
+func (watcher *watcher) end() error {
+	for _, poll := range watcher.polls {
+		poll.cancel()
+	}
+	for range watcher.polls {
+		<-watcher.gone
+	}
+	return nil
+}
+
+// list reads the platform's list; nil stands for no answer.
+func (watcher *watcher) list(ctx context.Context) []infra.Target {
+	list, err := watcher.instance.platform.Targets(ctx)
+	if err != nil {
+		watcher.logger.Debug().Err(err).Msg("list of targets is not there")
+		return nil
+	}
+	return list
+}
+
+func (watcher *watcher) take(list []infra.Target) {
+	if list == nil {
+		return
+	}
+	watcher.listed = map[string]infra.Target{}
+	for _, target := range list {
+		watcher.listed[target.ID] = target
+	}
+}
+
+// known returns the targets of the catalog and those that were ordered, as
+// far as they have not ended.
+func (watcher *watcher) known(catalog *note.Catalog) map[string]infra.Target {
+	known := map[string]infra.Target{}
+	for id, target := range watcher.listed {
+		known[id] = target
+	}
+	for id, target := range catalog.Targets {
+		life := infra.Live
+		if listed, ok := watcher.listed[id]; ok {
+			life = listed.Life
+		}
+		known[id] = infra.Target{Target: target, Life: life}
+	}
+	for id, target := range known {
+		if target.Life == infra.Ended {
+			delete(known, id)
+		}
+	}
+	return known
+}
+
+// refresh publishes what is known of the targets.
+func (watcher *watcher) refresh(ctx context.Context) {
+	catalog := watcher.instance.feed.Current()
+	if catalog == nil {
+		return
+	}
+	known := watcher.known(catalog)
+	watcher.keepPolls(ctx, known)
+	var targets []route.Target
+	var members []health.Member
+	var plain []note.Target
+	for id, target := range known {
+		current := watcher.current(target.Target)
+		poll := watcher.polls[id]
+		leaving := target.Life == infra.Leaving || poll.last.Draining || poll.last.Changing
+		targets = append(targets, route.Target{Target: current, Leaving: leaving})
+		members = append(members, health.Member{Target: id, Group: groupOf(current)})
+		plain = append(plain, current)
+	}
+	watcher.instance.targets.SetTargets(targets)
+	watcher.instance.health.SetMembers(members)
+	watcher.instance.relay.SetRates(plain)
+	watcher.setCapacity(plain)
+	watcher.count.Store(int64(len(targets)))
+}
+
+// current is the target with the role and the models that it reports.
+func (watcher *watcher) current(target note.Target) note.Target {
+	poll := watcher.polls[target.ID]
+	if target.Kind != note.KindEngine || !poll.known {
+		return target
+	}
+	if poll.last.Role != "" {
+		target.Role = poll.last.Role
+	}
+	target.Models = nil
+	for _, model := range poll.last.Models {
+		target.Models = append(target.Models, model.Name)
+	}
+	return target
+}
+
+func groupOf(target note.Target) string {
+	if target.Kind == note.KindService {
+		return target.DataCenter + "/" + target.Service
+	}
+	if len(target.Models) == 0 {
+		return target.DataCenter
+	}
+	return target.DataCenter + "/" + target.Models[0]
+}
+
+func (watcher *watcher) setCapacity(targets []note.Target) {
+	engines, services := 0.0, 0.0
+	for _, target := range targets {
+		if target.Kind == note.KindEngine {
+			engines++
+		} else {
+			services++
+		}
+	}
+	limits := watcher.instance.settings.Limits
+	setCapacity(watcher.instance.queues.engines, engines*limits.BacklogSeconds)
+	setCapacity(watcher.instance.queues.services, services*serviceBacklogCalls)
+}
+
+func setCapacity(admitter any, units float64) {
+	if bounded, ok := admitter.(interface{ SetCapacity(units float64) }); ok && units > 0 {
+		bounded.SetCapacity(units)
+	}
+}
+
+// keepPolls polls just the targets that are known.
+func (watcher *watcher) keepPolls(ctx context.Context, known map[string]infra.Target) {
+	for id, running := range watcher.polls {
+		if target, ok := known[id]; !ok || target.Address != running.address {
+			running.cancel()
+			<-watcher.gone
+			delete(watcher.polls, id)
+		}
+	}
+	for id, target := range known {
+		if _, ok := watcher.polls[id]; ok {
+			continue
+		}
+		pollCtx, cancel := context.WithCancel(ctx)
+		watcher.polls[id] = &poll{address: target.Address, cancel: cancel}
+		go watcher.poll(pollCtx, target.Target)
+	}
+}
+
+// poll asks one target for its load, and an engine for its cache events.
+func (watcher *watcher) poll(ctx context.Context, target note.Target) {
+	defer func() { watcher.gone <- target.ID }()
+	interval := conf.Milliseconds(watcher.instance.settings.Timeouts.PollMS)
+	var after uint64
+	var cacheAt time.Time
+	for ctx.Err() == nil {
+		watcher.askLoad(ctx, target)
+		if target.Kind == note.KindEngine && time.Since(cacheAt) >= cacheInterval {
+			cacheAt = time.Now()
+			after = watcher.askCache(ctx, target, after)
+		}
+		rest(ctx, interval/2+rand.N(interval))
+	}
+}
+
+func (watcher *watcher) askLoad(ctx context.Context, target note.Target) {
+	asked := time.Now()
+	load, err := watcher.instance.client.Load(ctx, target.Address)
+	if err != nil {
+		return
+	}
+	select {
+	case watcher.reports <- report{target: target.ID, load: load, asked: asked}:
+	case <-ctx.Done():
+	}
+}
+
+func (watcher *watcher) askCache(ctx context.Context, target note.Target, after uint64) uint64 {
+	reply, err := watcher.instance.client.CacheEvents(ctx, target.Address, strconv.FormatUint(after, 10))
+	if err != nil {
+		return after
+	}
+	events := make([]route.CacheEvent, 0, len(reply.Events))
+	for _, event := range reply.Events {
+		events = append(events, route.CacheEvent{Sequence: event.Sequence, Block: event.Block, Evicted: event.Evicted})
+	}
+	watcher.instance.targets.Events(target.ID, events)
+	return reply.Next
+}
+
+// report takes a load report. What changes the use of the target is published
+// at once.
+func (watcher *watcher) report(report report) {
+	poll, ok := watcher.polls[report.target]
+	if !ok {
+		return
+	}
+	before, known := poll.last, poll.known
+	poll.last, poll.known = report.load, true
+	watcher.instance.targets.Report(report.target, route.Load{
+		At: measuredAt(report),
+		Work: route.Work{
+			Requests:      int64(report.load.Running + report.load.Queued),
+			PrefillTokens: int64(report.load.PrefillTokens),
+			DecodeTokens:  int64(report.load.DecodeTokens),
+		},
+	})
+	if !known || changesUse(before, report.load) {
+		select {
+		case watcher.notes <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func changesUse(before, after engine.Load) bool {
+	if before.Draining != after.Draining || before.Changing != after.Changing || before.Role != after.Role {
+		return true
+	}
+	if len(before.Models) != len(after.Models) {
+		return true
+	}
+	for i, model := range after.Models {
+		if before.Models[i] != model {
+			return true
+		}
+	}
+	return false
+}
+
+// measuredAt places the target's time on this instance's clock. A report
+// cannot be younger than its answer nor older than the bound on lag, however
+// wrong the target's clock is.
+func measuredAt(report report) time.Time {
+	at := time.UnixMilli(report.load.AtUnixMS)
+	oldest := report.asked.Add(-maxLoadLag)
+	switch {
+	case at.After(report.asked):
+		return report.asked
+	case at.Before(oldest):
+		return oldest
+	default:
+		return at
+	}
+}
+
+const maxLoadLag = 5 * time.Second
--- a/internal/transport/fakes/cache.go
+++ b/internal/transport/fakes/cache.go
@@ -42,20 +42,18 @@
 func (cache *cache) add(blocks []uint64) {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
-	var event engine.CacheEvent
 	for _, block := range blocks {
 		if _, ok := cache.blocks[block]; ok {
 			continue
 		}
 		cache.blocks[block] = cache.order.PushFront(block)
-		event.Added = append(event.Added, block)
+		cache.publish(engine.CacheEvent{Block: block})
 	}
 	for cache.order.Len() > cache.capacity {
 		block, _ := cache.order.Remove(cache.order.Back()).(uint64)
 		delete(cache.blocks, block)
-		event.Removed = append(event.Removed, block)
+		cache.publish(engine.CacheEvent{Block: block, Evicted: true})
 	}
-	cache.publish(event)
 }
 
 func (cache *cache) clear() {
@@ -67,9 +65,6 @@
 }
 
 func (cache *cache) publish(event engine.CacheEvent) {
-	if len(event.Added) == 0 && len(event.Removed) == 0 {
-		return
-	}
 	cache.sequence++
 	if cache.dropNth > 0 && cache.sequence%uint64(cache.dropNth) == 0 {
 		return
--- a/internal/transport/front/refusal.go
+++ b/internal/transport/front/refusal.go
@@ -30,8 +30,8 @@
 	Code    int    `json:"code"`
 	Name    string `json:"name"`
 	Message string `json:"message"`
-	Run     string `json:"run"`                   // not-run, unknown or ran
-	Retry   int    `json:"retry-after,omitempty"` // seconds
+	Run     string `json:"run"`                  // not-run, unknown or ran
+	Retry   int    `json:"retry-after,omitzero"` // seconds
 }
 
 // Body returns the JSON body for an error.
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -230,7 +230,7 @@
 }
 
 func (relay *Relay) serveReady(w http.ResponseWriter) {
-	err := relay.ready()
+	err := relay.Ready()
 	if err != nil {
 		front.Refuse(w, err)
 		return
@@ -238,7 +238,8 @@
 	reply(w, "text/plain", []byte("ready\n"))
 }
 
-func (relay *Relay) ready() error {
+// Ready returns why the instance should get no new requests, nil if it should.
+func (relay *Relay) Ready() error {
 	if relay.stopping.Load() {
 		return code.Errorf(code.ShuttingDown, "instance is shutting down")
 	}
