Weigh role changes against the persistence of the mix

A change pays while the current mix is expected to persist, with the way back counted, or for the lasting mix. A lost phase is restored at once. EngineState gains Changing, so that a lost engine blocks no change.

--- a/internal/coordination/roles/baseline.go
+++ b/internal/coordination/roles/baseline.go
@@ -47,7 +47,7 @@
 
 func (threshold *Threshold) decideGroup(key group, fleet fleet) (Change, bool) {
 	last, observed := threshold.last[key]
-	if !observed || fleet.unready {
+	if !observed || fleet.changing {
 		return Change{}, false
 	}
 	demand := fleet.normalise(last)
--- a/internal/coordination/roles/capacity.go
+++ b/internal/coordination/roles/capacity.go
@@ -1,9 +1,18 @@
 package roles
 
-import "mangopier.example/mangopier/internal/protocol/note"
+import (
+	"math"
 
-// fullUtilisation is the utilisation above which answers miss their limits.
-const fullUtilisation = 0.85
+	"mangopier.example/mangopier/internal/protocol/note"
+)
+
+// Utilisation at which a phase loses answers, and how sharply it does.
+const (
+	prefillKnee      = 0.93
+	prefillSharpness = 8
+	decodeKnee       = 1.0
+	decodeSharpness  = 12
+)
 
 // split counts the engines of a group that take work, by role.
 type split struct {
@@ -24,30 +33,33 @@
 	return split
 }
 
+// specialised reports whether any engine takes one phase only.
+func (split split) specialised() bool { return split.prefill+split.decode > 0 }
+
 // serves reports whether an engine is left for each phase.
 func (split split) serves() bool {
 	return split.prefill+split.mixed > 0 && split.decode+split.mixed > 0
 }
 
-// utilisation returns the load of the busiest phase, or of all engines
-// together, for a demand in engines.
-func (split split) utilisation(demand mix, mixedEfficiency float64) float64 {
+// served returns the share of a demand, in engines, that is answered within
+// its limits. An answer needs both phases, and mixed engines are shared by
+// both.
+func (split split) served(demand mix, mixedEfficiency float64) float64 {
 	flexible := float64(split.mixed) * mixedEfficiency
-	prefill, decode := float64(split.prefill), float64(split.decode)
-	return max(
-		ratio(demand.prefill, prefill+flexible),
-		ratio(demand.decode, decode+flexible),
-		ratio(demand.prefill+demand.decode, prefill+decode+flexible),
+	prefill := ratio(demand.prefill, float64(split.prefill)+flexible)
+	decode := ratio(demand.decode, float64(split.decode)+flexible)
+	both := ratio(demand.prefill+demand.decode, float64(split.prefill+split.decode)+flexible)
+	return min(
+		within(prefill, prefillKnee, prefillSharpness)*within(decode, decodeKnee, decodeSharpness),
+		within(both, decodeKnee, decodeSharpness),
 	)
 }
 
-// served returns the share of a demand that is answered within its limits.
-func (split split) served(demand mix, mixedEfficiency float64) float64 {
-	utilisation := split.utilisation(demand, mixedEfficiency)
-	if utilisation <= fullUtilisation {
-		return 1
-	}
-	return fullUtilisation / utilisation
+// within returns the share of work that is done within limits at a
+// utilisation: all of it far below the knee, and what capacity is left for far
+// above.
+func within(utilisation, knee, sharpness float64) float64 {
+	return math.Pow(1+math.Pow(utilisation/knee, sharpness), -1/sharpness)
 }
 
 // ratio returns a load over a capacity, and a large number for a load on
@@ -61,10 +73,10 @@
 
 // fleet is the engines of one group, in the order given.
 type fleet struct {
-	engines []EngineState
-	ready   split
-	rates   mix // mean tokens per second of one engine, by phase
-	unready bool
+	engines  []EngineState
+	ready    split
+	rates    mix // mean tokens per second of one engine, by phase
+	changing bool
 }
 
 func newFleet(engines []EngineState) fleet {
@@ -72,11 +84,10 @@
 	for _, engine := range engines {
 		fleet.rates.prefill += engine.PrefillTPS / float64(len(engines))
 		fleet.rates.decode += engine.DecodeTPS / float64(len(engines))
-		if engine.Unready {
-			fleet.unready = true
-			continue
+		fleet.changing = fleet.changing || engine.Changing
+		if engine.takesWork() {
+			fleet.ready = fleet.ready.with(engine.role(), 1)
 		}
-		fleet.ready = fleet.ready.with(roleOf(engine), 1)
 	}
 	return fleet
 }
@@ -94,7 +105,7 @@
 	var best EngineState
 	found := false
 	for _, engine := range fleet.engines {
-		if engine.Unready || roleOf(engine) != role {
+		if !engine.takesWork() || engine.role() != role {
 			continue
 		}
 		if !found || engine.InFlight < best.InFlight {
@@ -119,7 +130,9 @@
 	return order, members
 }
 
-func roleOf(engine EngineState) note.Role {
+func (engine EngineState) takesWork() bool { return !engine.Unready && !engine.Changing }
+
+func (engine EngineState) role() note.Role {
 	if engine.Role == "" {
 		return note.RoleMixed
 	}
--- a/internal/coordination/roles/decider.go
+++ b/internal/coordination/roles/decider.go
@@ -8,10 +8,9 @@
 
 // leastGain is the share of a second's answers that a change has to win over
 // the horizon in any case.
-const leastGain = 0.5
+const leastGain = 1.5
 
-// changeRoles lists the roles that an engine may change to, in the order of
-// preference among equal gains.
+// changeRoles lists the roles that an engine may change between.
 var changeRoles = []note.Role{note.RolePrefill, note.RoleDecode, note.RoleMixed}
 
 // Decider changes roles when what a change wins over the expected persistence
@@ -42,7 +41,7 @@
 	sample := mix{prefill: max(demand.PrefillTPS, 0), decode: max(demand.DecodeTPS, 0)}
 	known, ok := decider.estimates[key]
 	if !ok {
-		decider.estimates[key] = newEstimate(now, sample, decider.settings.horizon)
+		decider.estimates[key] = newEstimate(now, sample)
 		return
 	}
 	known.observe(now, sample, decider.settings.fastTime, decider.settings.slowTime)
@@ -62,71 +61,102 @@
 }
 
 func (decider *Decider) decideGroup(now time.Time, key group, fleet fleet) (Change, bool) {
-	known, observed := decider.estimates[key]
-	if !observed || fleet.unready || decider.holds(now, key) {
+	if fleet.changing || !fleet.ready.specialised() || decider.holds(now, key, decider.settings.changeTime) {
 		return Change{}, false
 	}
-	outlook := decider.outlook(now, known, fleet)
-	var best Change
-	for _, from := range changeRoles {
-		engine, ok := fleet.pick(from)
-		if !ok || !fleet.ready.with(from, -1).serves() {
-			continue
-		}
-		for _, to := range changeRoles {
-			gain := outlook.gain(fleet.ready, from, to)
-			if to != from && gain > best.Gain {
-				best = Change{engine.ID, key.model, key.dataCenter, from, to, gain}
-			}
-		}
+	if !fleet.ready.serves() {
+		return fleet.restore(key)
 	}
-	return best, best.Gain > 0
+	if decider.holds(now, key, decider.settings.holdTime) {
+		return Change{}, false
+	}
+	known, observed := decider.estimates[key]
+	if !observed {
+		return Change{}, false
+	}
+	return decider.outlook(now, known, fleet).best(key, fleet)
 }
 
-// holds reports whether the last change of a group is too recent for another.
-func (decider *Decider) holds(now time.Time, key group) bool {
+// holds reports whether a group changed less than a time ago.
+func (decider *Decider) holds(now time.Time, key group, hold time.Duration) bool {
 	changed, ok := decider.changed[key]
-	return ok && now.Sub(changed) < max(decider.settings.holdTime, decider.settings.changeTime)
+	return ok && now.Sub(changed) < hold
 }
 
 func (decider *Decider) outlook(now time.Time, known *estimate, fleet fleet) outlook {
-	horizon := decider.settings.horizon
-	return outlook{
+	lasting := fleet.normalise(known.slow)
+	outlook := outlook{
 		settings: decider.settings,
-		current:  fleet.normalise(known.fast),
-		lasting:  fleet.normalise(known.slow),
-		persists: min(known.persistence(now), horizon),
+		current:  lasting,
+		lasting:  []mix{lasting.skewed(known.spread()), lasting.skewed(-known.spread())},
+	}
+	if known.side != 0 {
+		outlook.current = fleet.normalise(known.fast)
+		outlook.persists = min(known.persistence(now), decider.settings.horizon)
 	}
+	return outlook
 }
 
 // outlook is the demand expected over the horizon, in engines: the current
-// mix while it persists, and then the lasting one.
+// mix while it persists, and the mixes between which it moves in the long run.
 type outlook struct {
 	settings settings
 	current  mix
-	lasting  mix
-	persists time.Duration
+	lasting  []mix
+	persists time.Duration // 0 while the mix does not deviate
 }
 
-// gain returns what a change wins over the horizon less what it loses, in
-// seconds of answers, or 0 if the change is not worth its loss.
+// best returns the change with the largest gain.
+func (outlook outlook) best(key group, fleet fleet) (Change, bool) {
+	var best Change
+	for _, from := range changeRoles {
+		engine, ok := fleet.pick(from)
+		if !ok || !fleet.ready.with(from, -1).serves() {
+			continue
+		}
+		for _, to := range []note.Role{note.RolePrefill, note.RoleDecode} {
+			gain := outlook.gain(fleet.ready, from, to)
+			if to != from && gain > best.Gain {
+				best = key.change(engine, to, gain)
+			}
+		}
+	}
+	return best, best.Gain > 0
+}
+
+// gain returns what a change wins less what it loses, in seconds of answers,
+// or 0 if the change is not worth its loss. A change pays either while the
+// current mix persists, with the way back counted as a loss, or over the whole
+// horizon for the lasting mix, if it does no harm now.
 func (outlook outlook) gain(ready split, from, to note.Role) float64 {
 	changing := ready.with(from, -1)
 	after := changing.with(to, 1)
 	changeSeconds := outlook.settings.changeTime.Seconds()
-	persistSeconds := outlook.persists.Seconds()
-	lastSeconds := outlook.settings.horizon.Seconds() - max(persistSeconds, changeSeconds)
-	won := max(persistSeconds-changeSeconds, 0)*outlook.better(ready, after, outlook.current) +
-		max(lastSeconds, 0)*outlook.better(ready, after, outlook.lasting)
+	current := outlook.better(ready, after, outlook.current)
 	lost := changeSeconds * outlook.better(changing, ready, outlook.current)
+	won := max(outlook.persists.Seconds()-changeSeconds, 0) * current
+	best := outlook.worth(won, lost+changeSeconds*outlook.better(changing, after, outlook.lasting...))
+	if current >= 0 {
+		won = (outlook.settings.horizon.Seconds() - changeSeconds) * outlook.better(ready, after, outlook.lasting...)
+		best = max(best, outlook.worth(won, lost))
+	}
+	return best
+}
+
+func (outlook outlook) worth(won, lost float64) float64 {
 	if won < leastGain || won < outlook.settings.margin*lost {
 		return 0
 	}
 	return won - lost
 }
 
-// better returns the share of answers that split b serves more than a.
-func (outlook outlook) better(a, b split, demand mix) float64 {
+// better returns the share of answers that split b serves more than a, as the
+// mean over demands.
+func (outlook outlook) better(a, b split, demands ...mix) float64 {
 	efficiency := outlook.settings.mixedEfficiency
-	return b.served(demand, efficiency) - a.served(demand, efficiency)
+	sum := 0.0
+	for _, demand := range demands {
+		sum += b.served(demand, efficiency) - a.served(demand, efficiency)
+	}
+	return sum / float64(len(demands))
 }
--- a/internal/coordination/roles/estimate.go
+++ b/internal/coordination/roles/estimate.go
@@ -5,13 +5,20 @@
 	"time"
 )
 
-// runBand is the deviation of the logarithm of the ratio of prefill to decode
-// from its slow average at which a run begins.
-const runBand = 0.15
+// runErrors is the deviation of the fast average from the slow one at which a
+// run begins, in standard errors of the fast average.
+const runErrors = 2.5
+
+// leastDeviation is the least deviation of the logarithm of the ratio of
+// prefill to decode at which a run begins.
+const leastDeviation = 0.1
 
 // runWeight is the weight of the newest run in the averages over runs.
 const runWeight = 0.25
 
+// firstRun is the length that runs are taken to have before one has ended.
+const firstRun = time.Minute
+
 // ratioFloorTPS keeps the ratio of two rates finite.
 const ratioFloorTPS = 1e-3
 
@@ -28,6 +35,14 @@
 	return m
 }
 
+// skewed returns the mix with the logarithm of its ratio moved.
+func (m mix) skewed(deviation float64) mix {
+	return mix{
+		prefill: m.prefill * math.Exp(deviation/2),
+		decode:  m.decode * math.Exp(-deviation/2),
+	}
+}
+
 func (m mix) logRatio() float64 {
 	return math.Log((m.prefill + ratioFloorTPS) / (m.decode + ratioFloorTPS))
 }
@@ -41,15 +56,18 @@
 	observed   time.Time
 	side       int // -1, 0 or 1: where the run in progress lies
 	since      time.Time
+	last       mix     // of the last window
+	variance   float64 // of the logarithm of the ratio in one window
+	square     float64 // mean of the squared deviation of the fast average
 	meanLength float64 // seconds
 	meanSquare float64 // square seconds
 }
 
-// newEstimate returns an estimate that expects runs to last for residual.
-func newEstimate(now time.Time, sample mix, residual time.Duration) *estimate {
-	length := 2 * residual.Seconds()
+// newEstimate returns an estimate that expects runs of firstRun.
+func newEstimate(now time.Time, sample mix) *estimate {
+	length := firstRun.Seconds()
 	return &estimate{
-		fast: sample, slow: sample,
+		fast: sample, slow: sample, last: sample,
 		observed: now, since: now,
 		meanLength: length, meanSquare: length * length,
 	}
@@ -61,25 +79,40 @@
 		return
 	}
 	estimate.observed = now
+	difference := sample.logRatio() - estimate.last.logRatio()
+	estimate.variance += weightOf(elapsed, slow) * (difference*difference/2 - estimate.variance)
+	estimate.last = sample
 	estimate.fast = estimate.fast.toward(sample, weightOf(elapsed, fast))
 	estimate.slow = estimate.slow.toward(sample, weightOf(elapsed, slow))
-	estimate.follow(now)
+	deviation := estimate.deviation()
+	estimate.square += weightOf(elapsed, slow) * (deviation*deviation - estimate.square)
+	weight := weightOf(elapsed, fast)
+	estimate.follow(now, math.Sqrt(estimate.variance*weight/(2-weight)))
 }
 
 // follow ends the run in progress when the fast average crosses the slow one,
-// and begins another when it leaves the band around it.
-func (estimate *estimate) follow(now time.Time) {
-	deviation := estimate.fast.logRatio() - estimate.slow.logRatio()
+// and begins another when it deviates by more than its error explains.
+func (estimate *estimate) follow(now time.Time, standardError float64) {
+	deviation := estimate.deviation()
 	if estimate.side != 0 && deviation*float64(estimate.side) <= 0 {
 		estimate.record(now.Sub(estimate.since))
 		estimate.side = 0
 	}
-	if estimate.side == 0 && math.Abs(deviation) > runBand {
+	if estimate.side == 0 && math.Abs(deviation) > max(runErrors*standardError, leastDeviation) {
 		estimate.side = int(math.Copysign(1, deviation))
 		estimate.since = now
 	}
 }
 
+// deviation returns that of the fast average from the slow one, as the
+// difference of the logarithms of their ratios.
+func (estimate *estimate) deviation() float64 {
+	return estimate.fast.logRatio() - estimate.slow.logRatio()
+}
+
+// spread returns the standard deviation of the fast average from the slow one.
+func (estimate *estimate) spread() float64 { return math.Sqrt(estimate.square) }
+
 func (estimate *estimate) record(run time.Duration) {
 	length := run.Seconds()
 	estimate.meanLength += runWeight * (length - estimate.meanLength)
--- a/internal/coordination/roles/option.go
+++ b/internal/coordination/roles/option.go
@@ -18,11 +18,11 @@
 func defaults() settings {
 	return settings{
 		changeTime:      5 * time.Second,
-		fastTime:        4 * time.Second,
-		slowTime:        60 * time.Second,
-		horizon:         90 * time.Second,
-		holdTime:        10 * time.Second,
-		mixedEfficiency: 0.85,
+		fastTime:        12 * time.Second,
+		slowTime:        120 * time.Second,
+		horizon:         60 * time.Second,
+		holdTime:        20 * time.Second,
+		mixedEfficiency: 0.5,
 		margin:          1.5,
 	}
 }
@@ -34,25 +34,24 @@
 }
 
 // WithAverages sets the time constants of the fast and the slow average of
-// demand. The defaults are 4 s and 60 s.
+// demand. The defaults are 12 s and 120 s.
 func WithAverages(fast, slow time.Duration) Option {
 	return func(settings *settings) { settings.fastTime, settings.slowTime = fast, slow }
 }
 
-// WithHorizon sets over which time a change has to pay. The default is 90 s.
+// WithHorizon sets over which time a change has to pay. The default is 60 s.
 func WithHorizon(horizon time.Duration) Option {
 	return func(settings *settings) { settings.horizon = horizon }
 }
 
 // WithHoldTime sets the least time between two changes of a model in a data
-// centre. The default is 10 s.
+// centre. The default is 20 s.
 func WithHoldTime(hold time.Duration) Option {
 	return func(settings *settings) { settings.holdTime = hold }
 }
 
 // WithMixedEfficiency sets which share of its capacity an engine keeps while
-// it does both phases. At 1, mixed engines are never worse. The default is
-// 0.85.
+// it does both phases. The default is 0.5.
 func WithMixedEfficiency(share float64) Option {
 	return func(settings *settings) { settings.mixedEfficiency = share }
 }
--- a/internal/coordination/roles/roles.go
+++ b/internal/coordination/roles/roles.go
@@ -26,7 +26,8 @@
 	Model      string
 	DataCenter string
 	Role       note.Role
-	Unready    bool    // changing, draining, loading or lost: takes no work
+	Unready    bool    // draining, loading, changing or lost: takes no work
+	Changing   bool    // a role change is in progress
 	InFlight   int     // requests that the engine holds
 	PrefillTPS float64 // prompt tokens per second while it does nothing else
 	DecodeTPS  float64 // generated tokens per second of a full batch
@@ -46,9 +47,8 @@
 type Policy interface {
 	// Observe takes in the demand of the window that ended now.
 	Observe(now time.Time, demand Demand)
-	// Decide returns the next change, and false for none. Engines that take
-	// no work are marked unready; no change is returned for a model and data
-	// centre that has one of them under a change of this policy.
+	// Decide returns the next change, and false for none. No change is
+	// returned for a model and data centre that has an engine under a change.
 	Decide(now time.Time, engines []EngineState) (Change, bool)
 }
 
