--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -45,13 +45,13 @@
 // reclaimed together.
 type DataCenter struct {
 	Name       string
-	Region     string // data centres of a region take one another's work
-	MinTargets int    // fewest targets that stay
-	MaxTargets int    // most targets, those starting and draining included; 0 for no bound
-	OnDemand   int    // on-demand targets that the platform can still supply
-	Cheap      int    // cheap targets that the platform can still supply
-	Targets    []Target
-	Demand     []Demand
+	Region     string   // data centres of a region take one another's work
+	MinTargets int      // fewest targets that stay
+	MaxTargets int      // most targets, those starting and draining included; 0 for no bound
+	OnDemand   int      // on-demand targets that the platform can still supply
+	Cheap      int      // cheap targets that the platform can still supply
+	Targets    []Target // all that are paid for, those just ordered included
+	Demand     []Demand // by pool; targets of other pools are drained
 }
 
 // State is the fleet at one time.
--- a/internal/coordination/fleet/need.go
+++ b/internal/coordination/fleet/need.go
@@ -29,7 +29,8 @@
 type tally struct {
 	onDemand      int // starting and serving
 	cheap         int // starting and serving
-	servingDemand int // on-demand targets that serve
+	serving       int // of all, the ones that serve
+	servingDemand int // of the on-demand ones, the ones that serve
 }
 
 func (tally tally) total() int { return tally.onDemand + tally.cheap }
@@ -40,18 +41,25 @@
 		if target.Pool != pool || target.Phase == Draining {
 			continue
 		}
-		if target.Cheap {
-			tally.cheap++
-			continue
-		}
-		tally.onDemand++
-		if target.Phase == Serving {
-			tally.servingDemand++
-		}
+		tally.add(target)
 	}
 	return tally
 }
 
+func (tally *tally) add(target Target) {
+	serves := 0
+	if target.Phase == Serving {
+		serves = 1
+	}
+	tally.serving += serves
+	if target.Cheap {
+		tally.cheap++
+		return
+	}
+	tally.onDemand++
+	tally.servingDemand += serves
+}
+
 // cheapBound limits the cheap targets of a pool in a data centre.
 type cheapBound struct {
 	most   int  // targets that may be lost at once
--- a/internal/coordination/fleet/site.go
+++ b/internal/coordination/fleet/site.go
@@ -62,17 +62,14 @@
 	}
 }
 
-// shrink drains one target of a pool that has more than it retains.
+// shrink drains one target of a pool of which more serve than it retains.
 func (site *site) shrink(pool Pool, need need, bound cheapBound) {
 	tally := tallyOf(site.dataCenter.Targets, pool)
-	if tally.total() <= need.retain || site.staying <= site.dataCenter.MinTargets {
+	if tally.serving <= need.retain || site.staying <= site.dataCenter.MinTargets {
 		return
 	}
-	onDemand := tally.onDemand > need.least && tally.onDemand > need.retain-bound.most
-	if tally.cheap > bound.most {
-		onDemand = false
-	}
-	site.drain(pool, !onDemand, need.least)
+	onDemand := tally.cheap <= bound.most && tally.onDemand > max(need.least, need.retain-bound.most)
+	site.drain(pool, !onDemand)
 }
 
 // clear drains the targets of pools other than those listed.
@@ -85,18 +82,14 @@
 	}
 }
 
-// drain drains the target of a class that holds the fewest requests. It
-// leaves least on-demand targets serving.
-func (site *site) drain(pool Pool, cheap bool, least int) {
+// drain drains the target of a class that holds the fewest requests.
+func (site *site) drain(pool Pool, cheap bool) {
 	var candidates []Target
 	for _, target := range site.dataCenter.Targets {
 		if target.Pool == pool && target.Cheap == cheap && target.Phase != Draining {
 			candidates = append(candidates, target)
 		}
 	}
-	if !cheap && tallyOf(site.dataCenter.Targets, pool).servingDemand <= least {
-		return
-	}
 	if len(candidates) == 0 {
 		return
 	}
