Add the experiments: arrivals, latencies, models of policies, output

Scenarios run over HTTP on a system that a Lab starts or that runs already, or over a model of one policy.

--- /dev/null
+++ b/internal/transport/bench/policies.go
@@ -0,0 +1,121 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mangopier.example/mangopier/internal/coordination/fleet"
+	"mangopier.example/mangopier/internal/coordination/loader"
+	"mangopier.example/mangopier/internal/coordination/roles"
+	"mangopier.example/mangopier/internal/protocol/note"
+)
+
+// modelStream is the second word of the seeds of models.
+const modelStream = 1
+
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, modelStream)) }
+
+// thresholdFactor is that of the threshold baseline: the best of 1.2, 1.5 and
+// 2 in goodput.
+const thresholdFactor = 2
+
+// roleScenario compares role policies on one shift, at a load per engine.
+func roleScenario(name, description string, shift shift, load float64) Scenario {
+	model := func(policy func() roles.Policy) func(uint64) Sample {
+		return func(seed uint64) Sample {
+			model := newRoleModel(seed, shift, load)
+			model.policy = policy()
+			return model.run().sample()
+		}
+	}
+	return Scenario{Name: name, Description: description, Variants: []Variant{
+		{Name: "persistence", Model: model(func() roles.Policy { return roles.New() })},
+		{Name: "never", Baseline: true, Model: model(func() roles.Policy { return roles.Never{} })},
+		{Name: "threshold", Baseline: true, Model: model(func() roles.Policy { return roles.NewThreshold(thresholdFactor) })},
+		{Name: "mixed", Baseline: true, Model: mixedModel(shift, load)},
+	}}
+}
+
+// mixedModel runs engines that are all mixed.
+func mixedModel(shift shift, load float64) func(uint64) Sample {
+	return func(seed uint64) Sample {
+		model := newRoleModel(seed, shift, load)
+		model.policy = roles.Never{}
+		model.engines = newEngines(0, roleEngines, note.RoleMixed)
+		return model.run().sample()
+	}
+}
+
+func newRoleModel(seed uint64, shift shift, load float64) *roleModel {
+	return &roleModel{
+		random: newRandom(seed), shift: shift, load: load,
+		overhead: mixedOverhead, change: roleChangeTime,
+		engines: newEngines(rolePrefills, roleEngines-rolePrefills, note.RoleDecode),
+	}
+}
+
+func (result roleResult) sample() Sample {
+	return Sample{
+		Measures: []Measure{
+			{"goodput", "%", 100 * result.goodput()},
+			{"changes", "", float64(result.changes)},
+		},
+		Timeline: timelineOf(result.steps, roleStep),
+	}
+}
+
+// fleetScenario compares capacity policies.
+func fleetScenario(name, description string, faults, surge bool) Scenario {
+	model := func(policy func() fleet.Policy) func(uint64) Sample {
+		return func(seed uint64) Sample {
+			model := &fleetModel{random: newRandom(seed), policy: policy(), faults: faults, surge: surge}
+			return model.run().sample()
+		}
+	}
+	return Scenario{Name: name, Description: description, Variants: []Variant{
+		{Name: "planner", Model: model(func() fleet.Policy { return fleet.New() })},
+		{Name: "planner, none cheap", Baseline: true, Model: model(func() fleet.Policy { return fleet.New(fleet.WithCheapShare(0)) })},
+		{Name: "fixed", Baseline: true, Model: model(func() fleet.Policy { return fleet.NewFixed(peakCounts()) })},
+	}}
+}
+
+func (result fleetResult) sample() Sample {
+	return Sample{Measures: []Measure{
+		{"goodput", "%", 100 * result.served / result.offered},
+		{"worst tick", "%", 100 * result.worst},
+		{"paid", "target hours", result.paid / time.Hour.Seconds()},
+		{"on cheap targets", "%", 100 * result.cheap / result.served},
+		{"cut calls", "", float64(result.cutCalls)},
+		{"refused calls", "", float64(result.lostCalls)},
+		{"reclaimed", "targets", float64(result.reclaimed)},
+	}}
+}
+
+// weightScenario compares orders of weight loads.
+func weightScenario() Scenario {
+	model := func(policy loader.Policy) func(uint64) Sample {
+		return func(seed uint64) Sample {
+			return newLoadModel(newRandom(seed), policy).run().sample()
+		}
+	}
+	return Scenario{
+		Name:        "weights",
+		Description: "Three models change version at once on 36 targets in 3 data centres, from a weight store of 2 GB/s.",
+		Variants: []Variant{
+			{Name: "shortest remaining", Model: model(loader.New())},
+			{Name: "all at once", Baseline: true, Model: model(loader.AllAtOnce{})},
+			{Name: "one at a time", Baseline: true, Model: model(loader.OneAtATime{})},
+		},
+	}
+}
+
+func (result loadResult) sample() Sample {
+	return Sample{Measures: []Measure{
+		{"mean end of changes", "s", result.meanEnd.Seconds()},
+		{"last end", "s", result.lastEnd.Seconds()},
+		{"out of service", "target s", result.gone.Seconds()},
+		{"below 70% served", "s", result.starved.Seconds()},
+		{"not served", "s", result.unserved.Seconds()},
+		{"from the store", "GB", result.fetched / 1e9},
+	}}
+}
--- /dev/null
+++ b/internal/transport/bench/run.go
@@ -0,0 +1,149 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+)
+
+// Option changes a setting of a run.
+type Option func(*runner)
+
+// WithLab sets who starts systems for variants with a workload.
+func WithLab(lab Lab) Option {
+	return func(runner *runner) { runner.lab = lab }
+}
+
+// WithEndpoint drives a system that already runs, whatever a variant's setup
+// says. Only the first variant is run.
+func WithEndpoint(endpoint Endpoint) Option {
+	return func(runner *runner) { runner.endpoint = &endpoint }
+}
+
+// WithSeeds sets the seeds, one run of each variant for each. The defaults
+// are 1 to 5.
+func WithSeeds(seeds ...uint64) Option {
+	return func(runner *runner) { runner.seeds = seeds }
+}
+
+// WithProgress sets where a line is written at the start of each run. Nothing
+// is written by default.
+func WithProgress(progress io.Writer) Option {
+	return func(runner *runner) { runner.progress = progress }
+}
+
+// WithDuration replaces the duration of workloads; models keep theirs.
+func WithDuration(duration time.Duration) Option {
+	return func(runner *runner) { runner.duration = duration }
+}
+
+type runner struct {
+	lab      Lab
+	endpoint *Endpoint
+	seeds    []uint64
+	progress io.Writer
+	duration time.Duration
+}
+
+// Run runs all variants of a scenario. Errors have code.CommandInvalid or
+// that of the lab.
+func Run(ctx context.Context, scenario Scenario, opts ...Option) (Result, error) {
+	runner := &runner{seeds: []uint64{1, 2, 3, 4, 5}, progress: io.Discard}
+	for _, opt := range opts {
+		opt(runner)
+	}
+	result := Result{Scenario: scenario.Name, Seeds: runner.seeds}
+	variants := scenario.Variants
+	if runner.endpoint != nil && len(variants) > 0 {
+		variants = variants[:1]
+	}
+	for _, variant := range variants {
+		var samples []Sample
+		for _, seed := range runner.seeds {
+			fmt.Fprintf(runner.progress, "bench: %s, variant %s, seed %d\n", scenario.Name, variant.Name, seed)
+			sample, err := runner.sample(ctx, variant, seed)
+			if err != nil {
+				return result, err
+			}
+			samples = append(samples, sample)
+		}
+		result.Rows = append(result.Rows, newRow(variant, samples))
+	}
+	return result, nil
+}
+
+func (runner *runner) sample(ctx context.Context, variant Variant, seed uint64) (Sample, error) {
+	if err := ctx.Err(); err != nil {
+		return Sample{}, code.Wrap(err, code.CommandInvalid, "bench was stopped")
+	}
+	if variant.Model != nil {
+		return variant.Model(seed), nil
+	}
+	if runner.duration > 0 {
+		variant.Workload.Duration = runner.duration
+	}
+	endpoint, stop, err := runner.start(ctx, variant)
+	if err != nil {
+		return Sample{}, err
+	}
+	defer stop()
+	report, err := Drive(ctx, endpoint, variant.Workload, variant.Faults, seed)
+	if err != nil {
+		return Sample{}, err
+	}
+	return report.Sample(), nil
+}
+
+func (runner *runner) start(ctx context.Context, variant Variant) (Endpoint, func(), error) {
+	switch {
+	case runner.endpoint != nil:
+		return *runner.endpoint, func() {}, nil
+	case runner.lab != nil:
+		return runner.lab.Start(ctx, variant)
+	default:
+		return Endpoint{}, nil, code.Errorf(code.CommandInvalid, "variant %s needs a running system", variant.Name)
+	}
+}
+
+// newRow sums up the samples of one variant.
+func newRow(variant Variant, samples []Sample) Row {
+	row := Row{Variant: variant.Name, Baseline: variant.Baseline}
+	if len(samples) == 0 {
+		return row
+	}
+	for index, measure := range samples[0].Measures {
+		var values []float64
+		sum := 0.0
+		for _, sample := range samples {
+			values = append(values, sample.Measures[index].Value)
+			sum += sample.Measures[index].Value
+		}
+		row.Measures = append(row.Measures, MeasureSpread{
+			Name: measure.Name, Unit: measure.Unit,
+			Mean: sum / float64(len(values)), Min: slices.Min(values), Max: slices.Max(values),
+		})
+	}
+	row.Timeline = meanTimeline(samples)
+	return row
+}
+
+// meanTimeline returns the mean goodput of the times that any sample has.
+func meanTimeline(samples []Sample) []Point {
+	sums, counts := map[float64]float64{}, map[float64]int{}
+	for _, sample := range samples {
+		for _, point := range sample.Timeline {
+			sums[point.Seconds] += point.Goodput
+			counts[point.Seconds]++
+		}
+	}
+	var points []Point
+	for at, sum := range sums {
+		points = append(points, Point{at, sum / float64(counts[at])})
+	}
+	slices.SortFunc(points, func(a, b Point) int { return int(a.Seconds - b.Seconds) })
+	return points
+}
--- /dev/null
+++ b/internal/transport/bench/scenarios.go
@@ -0,0 +1,134 @@
+package bench
+
+import (
+	"cmp"
+	"time"
+)
+
+// Scenarios returns all scenarios in a fixed order.
+func Scenarios() []Scenario {
+	scenarios := []Scenario{steadyScenario(), routingScenario(), floodScenario(), engineLossScenario(), mixShiftScenario()}
+	return append(scenarios, policyScenarios()...)
+}
+
+// Find returns the scenario of a name.
+func Find(name string) (Scenario, bool) {
+	for _, scenario := range Scenarios() {
+		if scenario.Name == name {
+			return scenario, true
+		}
+	}
+	return Scenario{}, false
+}
+
+// policyScenarios returns those that run models of single policies.
+func policyScenarios() []Scenario {
+	return []Scenario{
+		roleScenario("roles-steady", "Role changes under a steady mix, 12 engines at 75% load.", steadyShift, 0.75),
+		roleScenario("roles-step", "Role changes when the prefill share steps from 0.27 to 0.405, 0.135 and back.", stepShift, 0.75),
+		roleScenario("roles-ramp", "Role changes when the prefill share ramps to 0.405 and then to 0.135.", rampShift, 0.75),
+		roleScenario("roles-swing", "Role changes when the prefill share swings between 0.405 and 0.135 every 10 s.", swingShift, 0.75),
+		roleScenario("roles-step-90", "As roles-step, at 90% load.", stepShift, 0.9),
+		roleScenario("roles-ramp-90", "As roles-ramp, at 90% load.", rampShift, 0.9),
+		roleScenario("roles-swing-90", "As roles-swing, at 90% load.", swingShift, 0.9),
+		fleetScenario("fleet-calm", "Capacity over two cycles of load in 3 data centres, cheap targets always there.", false, false),
+		fleetScenario("fleet-reclaim", "As fleet-calm, with zones reclaimed four times and no cheap targets for half an hour.", true, false),
+		fleetScenario("fleet-surge", "As fleet-reclaim, with the load half as high again within seconds for 20 min.", true, true),
+		weightScenario(),
+	}
+}
+
+// Model and teams that labs and the demo offer.
+const benchModel = "layout"
+
+var benchTeams = []string{"press", "council", "guides"}
+
+// benchLimits are the limits of an answer that counts as good.
+var benchLimits = Limits{FirstByte: firstTokenLimit, Between: betweenTokenLimit}
+
+// workloadAt returns a workload with rates by team, in the order of
+// benchTeams, in requests per second.
+func workloadAt(rates ...float64) Workload {
+	workload := Workload{
+		Model:    benchModel,
+		Duration: 20 * time.Second,
+		Mixes:    []Mix{{PromptTokens: 200, OutputTokens: 40, Prefixes: 16, PrefixTokens: 1024}},
+		Limits:   benchLimits,
+	}
+	for index, rate := range rates {
+		workload.Teams = append(workload.Teams, TeamLoad{Team: benchTeams[index], Rate: rate})
+	}
+	return workload
+}
+
+func steadyScenario() Scenario {
+	return Scenario{
+		Name:        "steady",
+		Description: "A steady load of three teams at about half of the stand-ins' capacity.",
+		Variants:    []Variant{{Name: "defaults", Workload: workloadAt(40, 20, 20)}},
+	}
+}
+
+// mixShiftScenario shifts the mix from long prompts to long answers and back.
+func mixShiftScenario() Scenario {
+	workload := workloadAt(30, 15, 15)
+	workload.Mixes = []Mix{
+		{PromptTokens: 400, OutputTokens: 40},
+		{From: 7 * time.Second, PromptTokens: 1600, OutputTokens: 10},
+		{From: 14 * time.Second, PromptTokens: 100, OutputTokens: 80},
+	}
+	return Scenario{
+		Name:        "mix-shift",
+		Description: "The mix shifts to long prompts after 7 s and to long answers after 14 s.",
+		Variants:    []Variant{{Name: "defaults", Workload: workload}},
+	}
+}
+
+func routingScenario() Scenario {
+	scenario := Scenario{
+		Name:        "routing",
+		Description: "Choice of targets under a load with 16 shared prompt beginnings.",
+	}
+	for _, routing := range []string{"", "round-robin", "random", "least-outstanding"} {
+		scenario.Variants = append(scenario.Variants, Variant{
+			Name: cmp.Or(routing, "prefix"), Baseline: routing != "",
+			Setup: Setup{Routing: routing}, Workload: workloadAt(60, 30, 30),
+		})
+	}
+	return scenario
+}
+
+// floodScenario lets one team send a multiple of its rate for a while.
+func floodScenario() Scenario {
+	workload := workloadAt(40, 15, 15)
+	workload.Teams[0].Surge = Surge{From: 5 * time.Second, Until: 15 * time.Second, Factor: 6}
+	scenario := Scenario{
+		Name:        "flood",
+		Description: "One of three teams sends six times its load for 10 s.",
+	}
+	for _, admission := range []string{"", "fifo", "token-bucket"} {
+		scenario.Variants = append(scenario.Variants, Variant{
+			Name: cmp.Or(admission, "fair"), Baseline: admission != "",
+			Setup: Setup{Admission: admission}, Workload: workload,
+		})
+	}
+	return scenario
+}
+
+func engineLossScenario() Scenario {
+	faults := []Fault{
+		{At: 6 * time.Second, Kind: EngineCrash, Target: "0", For: 6 * time.Second},
+		{At: 6 * time.Second, Kind: EngineCrash, Target: "1", For: 6 * time.Second},
+	}
+	scenario := Scenario{
+		Name:        "engine-loss",
+		Description: "Two of six engines crash at once and return after 6 s.",
+	}
+	for _, retries := range []string{"", "unbounded", "none"} {
+		scenario.Variants = append(scenario.Variants, Variant{
+			Name: cmp.Or(retries, "budget"), Baseline: retries != "",
+			Setup: Setup{Engines: 6, Retries: retries}, Workload: workloadAt(60, 30, 30), Faults: faults,
+		})
+	}
+	return scenario
+}
