--- a/internal/coordination/once/claim.go
+++ b/internal/coordination/once/claim.go
@@ -81,8 +81,7 @@
 		row, err := claim.guard.store.Get(ctx, claim.key)
 		switch {
 		case code.Is(err, code.RowMissing):
-			claim.version = 0
-			return nil, nil, claim.expired(ctx)
+			return nil, nil, claim.again(ctx)
 		case err == nil:
 			ticket, outcome, again, err := claim.judge(ctx, row)
 			if !again {
@@ -129,6 +128,16 @@
 	return newTicket(claim.guard, claim.key, claim.record)
 }
 
+// again makes the next write ask for a row that does not exist. A write whose
+// answer was lost may be on its way, so it is given a moment.
+func (claim *claim) again(ctx context.Context) error {
+	claim.version = 0
+	if claim.written {
+		claim.sleep(ctx)
+	}
+	return claim.expired(ctx)
+}
+
 // expired refuses the call when its time for the claim is over.
 func (claim *claim) expired(ctx context.Context) error {
 	if ctx.Err() == nil {
--- a/internal/coordination/once/once_test.go
+++ b/internal/coordination/once/once_test.go
@@ -46,6 +46,9 @@
 	a := once.New(store.Client("a"))
 	b := once.New(store.Client("b"))
 	ticket := begin(t, a, order)
+	if got := store.Counts(); got != (memory.Counts{Writes: 1}) {
+		t.Fatalf("a claim cost %+v", got)
+	}
 	if err := ticket.Sent(); err != nil {
 		t.Fatal(err)
 	}
@@ -54,6 +57,9 @@
 		Header: http.Header{"Content-Type": {"text/plain"}, "Set-Cookie": {"secret"}},
 	})
 	flush(t, a)
+	if got := store.Counts(); got != (memory.Counts{Reads: 1, Writes: 2}) {
+		t.Fatalf("a first call cost %+v", got)
+	}
 	_, outcome, err := b.Begin(context.Background(), order)
 	if err != nil || outcome.Status != 201 || string(outcome.Body) != "done" {
 		t.Fatalf("got %+v, %v", outcome, err)
@@ -61,6 +67,9 @@
 	if outcome.Header.Get("Content-Type") != "text/plain" || outcome.Header.Get("Set-Cookie") != "" {
 		t.Fatalf("got headers %v", outcome.Header)
 	}
+	if got := store.Counts(); got != (memory.Counts{Reads: 2, Writes: 3}) {
+		t.Fatalf("a first call and a repeat cost %+v", got)
+	}
 	other := order
 	other.Body = []byte("b")
 	if _, _, err := b.Begin(context.Background(), other); !code.Is(err, code.IdempotencyMismatch) {
--- a/internal/coordination/once/queue.go
+++ b/internal/coordination/once/queue.go
@@ -137,7 +137,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), guard.settings.flushTimeout)
 	defer cancel()
-	for job := queue.pop(); job != nil; job = queue.pop() {
+	for ctx.Err() == nil {
+		job := queue.pop()
+		if job == nil {
+			return nil
+		}
 		queue.run(ctx, guard, job)
 	}
 	return nil
--- a/internal/coordination/once/ticket.go
+++ b/internal/coordination/once/ticket.go
@@ -53,7 +53,7 @@
 // at once; if the instance ends before the store takes the outcome, repeats of
 // the call get code.OutcomeUnknown.
 func (ticket *Ticket) Finish(outcome Outcome) {
-	if ticket.end() && ticket.key != "" {
+	if first, _ := ticket.end(); first && ticket.key != "" {
 		ticket.guard.jobs.finish(ticket.key, ticket.record, outcome.subset(), ticket.guard.settings)
 	}
 }
@@ -62,7 +62,7 @@
 // released in the background and may be used again. Otherwise repeats of the
 // call get code.OutcomeUnknown.
 func (ticket *Ticket) Abandon() {
-	if ticket.end() && ticket.key != "" && !ticket.sent {
+	if first, sent := ticket.end(); first && !sent && ticket.key != "" {
 		ticket.guard.jobs.release(ticket.key, ticket.record)
 	}
 }
@@ -89,10 +89,12 @@
 	return max(now.Sub(ticket.since), wall) > ticket.guard.settings.sendTimeout
 }
 
-func (ticket *Ticket) end() bool {
+// end tells whether this is the first end of the ticket, and whether the call
+// was sent.
+func (ticket *Ticket) end() (first, sent bool) {
 	ticket.mu.Lock()
 	defer ticket.mu.Unlock()
-	first := !ticket.ended
+	first = !ticket.ended
 	ticket.ended = true
-	return first
+	return first, ticket.sent
 }
--- a/internal/coordination/usage/fallback.go
+++ b/internal/coordination/usage/fallback.go
@@ -73,7 +73,7 @@
 	for _, row := range rows {
 		batch, err := decodeCopy(row)
 		if err != nil {
-			return nil, err
+			continue // Missing tells that its origin has no copy
 		}
 		last, ok := through[batch.Origin]
 		settled := ok && batch.Window <= last || batch.Window <= ask.Window-2*horizon
