--- a/internal/coordination/order/option.go
+++ b/internal/coordination/order/option.go
@@ -59,8 +59,10 @@
 	return func(options *options) { options.sendTimeout = timeout }
 }
 
-// WithOutcomeTimeout sets for how long a target that does not fence may leave
-// the outcome of an order unknown before it is abandoned.
+// WithOutcomeTimeout sets how long the outcome of an order to a target that
+// does not fence may stay unknown before the target is abandoned. A successor
+// waits as long for the writer to close its ticket, unless the writer has
+// ended.
 func WithOutcomeTimeout(timeout time.Duration) Option {
 	return func(options *options) { options.outcomeTimeout = timeout }
 }
--- a/internal/coordination/order/recover.go
+++ b/internal/coordination/order/recover.go
@@ -175,6 +175,8 @@
 		return issuer.fence(ctx, slot, ticket)
 	case issuer.wasDropped(ctx, ticket):
 		return OutcomeDropped, issuer.closeAsSuccessor(ctx, slot, ticket, OutcomeDropped)
+	case issuer.seenFor(slot, ticket) < issuer.options.outcomeTimeout && !issuer.ended(ctx, ticket.Writer):
+		return "", nil // the writer may be about to close it
 	default:
 		return issuer.abandon(ctx, slot, ticket)
 	}
--- a/internal/coordination/order/slot.go
+++ b/internal/coordination/order/slot.go
@@ -16,6 +16,8 @@
 	written time.Time // last write by this process
 	sent    departure
 	dropped uint64    // highest number that is never to be sent
+	found   Reference // last open ticket of another process
+	foundAt time.Time // when it was first seen
 	settled time.Time // reports of a state before this time do not count
 }
 
@@ -100,3 +102,14 @@
 	read := time.Now().Add(-report.Age)
 	return !read.Before(slot.settled) && !read.Before(issuer.began)
 }
+
+// seenFor returns for how long this process has known an open ticket.
+func (issuer *Issuer) seenFor(slot *slot, ticket Ticket) time.Duration {
+	issuer.mu.Lock()
+	defer issuer.mu.Unlock()
+	if slot.found != ticket.Reference() {
+		slot.found = ticket.Reference()
+		slot.foundAt = time.Now()
+	}
+	return time.Since(slot.foundAt)
+}
--- a/internal/coordination/order/write.go
+++ b/internal/coordination/order/write.go
@@ -64,23 +64,18 @@
 	}
 }
 
-// commit writes all changes or none. After a lost answer it commits again:
-// either that succeeds, and the first attempt can no longer take effect, or it
-// conflicts, and the row tells whose write won.
+// commit writes all changes or none. After a lost answer it reads what became
+// of the write, and commits again while the write may still be under way:
+// either that succeeds, and the first attempt can no longer take effect, or the
+// rows tell whose write won.
 func (issuer *Issuer) commit(ctx context.Context, changes []*change, checks []table.Write, patience patience) error {
 	writes := writesOf(changes, checks)
 	unknown := false
 	for failures := 0; ; failures++ {
 		err := issuer.commitOnce(ctx, writes)
 		switch {
-		case err == nil:
-			return nil
-		case code.Is(err, code.RowConflict) && !unknown:
+		case err == nil, code.Is(err, code.RowConflict) && !unknown:
 			return err
-		case code.Is(err, code.RowConflict):
-			if mine, readErr := issuer.landed(ctx, changes[0]); readErr == nil {
-				return conflictUnless(mine, err)
-			}
 		case !code.Is(err, code.StoreDown):
 			unknown = true
 		case !unknown && patience == impatient:
@@ -89,14 +84,49 @@
 		if !sleep(ctx, issuer.options.backoff(failures)) {
 			return err
 		}
+		if !unknown {
+			continue
+		}
+		if decided, err := issuer.decided(ctx, changes[0], checks); decided {
+			return err
+		}
 	}
 }
 
-func conflictUnless(mine bool, err error) error {
-	if mine {
-		return nil
+// decided reports whether a write without an answer took effect, which gives no
+// error, or never will, which gives code.RowConflict. The checks are read
+// first: a write that has not taken effect after a check failed never does.
+func (issuer *Issuer) decided(ctx context.Context, change *change, checks []table.Write) (bool, error) {
+	moved := false
+	for _, check := range checks {
+		version, err := issuer.version(ctx, check.Key)
+		if err != nil {
+			return false, err
+		}
+		moved = moved || version != check.Version
+	}
+	ticket, version, err := issuer.read(ctx, change.slot.key)
+	switch {
+	case err != nil:
+		return false, err
+	case ticket.same(change.ticket):
+		return true, nil
+	case moved || version != change.version:
+		return true, code.Errorf(code.RowConflict, "another process wrote row %s or took the lease", change.slot.key)
+	default:
+		return false, nil
 	}
-	return err
+}
+
+// version returns the version of a row, 0 if there is none.
+func (issuer *Issuer) version(ctx context.Context, key string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	row, err := issuer.services.Store.Get(ctx, key)
+	if code.Is(err, code.RowMissing) {
+		return 0, nil
+	}
+	return row.Version, err
 }
 
 func writesOf(changes []*change, checks []table.Write) []table.Write {
@@ -115,12 +145,6 @@
 	return issuer.services.Store.Commit(ctx, writes...)
 }
 
-// landed reports whether the row holds what the change was to write.
-func (issuer *Issuer) landed(ctx context.Context, change *change) (bool, error) {
-	ticket, _, err := issuer.read(ctx, change.slot.key)
-	return err == nil && ticket.same(change.ticket), err
-}
-
 // read returns the ticket of a row and its version, both zero if there is no
 // row.
 func (issuer *Issuer) read(ctx context.Context, key string) (Ticket, uint64, error) {
