--- a/internal/coordination/order/order_test.go
+++ b/internal/coordination/order/order_test.go
@@ -96,16 +96,20 @@
 		}
 		var done, doneSecond <-chan struct{}
 		world.takeOver(first)
+		first.recover()
 		time.Sleep(2 * time.Second)
-		paused, done = first.background(pauseAt, func() { act(first, "v1") })
+		paused, done = first.background(pauseAt, func() {
+			if result := act(first, "v1"); !paused && scenario.fate == arrives && scenario.lose != "first" && result.Err != nil {
+				t.Errorf("the first holder cannot order: %v", result.Err)
+			}
+		})
 		world.takeOver(second)
-		time.Sleep(2 * time.Second)
 		pausedSecond, doneSecond := second.background(scenario.steps, func() {
 			second.recover()
+			time.Sleep(2 * time.Second)
 			act(second, "v2")
 		})
 		world.takeOver(third)
-		time.Sleep(2 * time.Second)
 		left := third.recover()
 		blocked := len(left) > 0
 		time.Sleep(2 * time.Second)
