--- a/internal/coordination/roles/decider.go
+++ b/internal/coordination/roles/decider.go
@@ -71,7 +71,7 @@
 		return Change{}, false
 	}
 	known, observed := decider.estimates[key]
-	if !observed {
+	if !observed || !known.warm(decider.settings.fastTime) {
 		return Change{}, false
 	}
 	return decider.outlook(now, known, fleet).best(key, fleet)
--- a/internal/coordination/roles/estimate.go
+++ b/internal/coordination/roles/estimate.go
@@ -53,6 +53,7 @@
 type estimate struct {
 	fast       mix
 	slow       mix
+	began      time.Time
 	observed   time.Time
 	side       int // -1, 0 or 1: where the run in progress lies
 	since      time.Time
@@ -68,7 +69,7 @@
 	length := firstRun.Seconds()
 	return &estimate{
 		fast: sample, slow: sample, last: sample,
-		observed: now, since: now,
+		began: now, observed: now, since: now,
 		meanLength: length, meanSquare: length * length,
 	}
 }
@@ -79,15 +80,23 @@
 		return
 	}
 	estimate.observed = now
+	// Until an average has seen its time constant, all samples weigh alike.
+	even := elapsed.Seconds() / (now.Sub(estimate.began) + elapsed).Seconds()
+	fastWeight := max(weightOf(elapsed, fast), even)
+	slowWeight := max(weightOf(elapsed, slow), even)
 	difference := sample.logRatio() - estimate.last.logRatio()
-	estimate.variance += weightOf(elapsed, slow) * (difference*difference/2 - estimate.variance)
+	estimate.variance += slowWeight * (difference*difference/2 - estimate.variance)
 	estimate.last = sample
-	estimate.fast = estimate.fast.toward(sample, weightOf(elapsed, fast))
-	estimate.slow = estimate.slow.toward(sample, weightOf(elapsed, slow))
+	estimate.fast = estimate.fast.toward(sample, fastWeight)
+	estimate.slow = estimate.slow.toward(sample, slowWeight)
 	deviation := estimate.deviation()
-	estimate.square += weightOf(elapsed, slow) * (deviation*deviation - estimate.square)
-	weight := weightOf(elapsed, fast)
-	estimate.follow(now, math.Sqrt(estimate.variance*weight/(2-weight)))
+	estimate.square += slowWeight * (deviation*deviation - estimate.square)
+	estimate.follow(now, math.Sqrt(estimate.variance*fastWeight/(2-fastWeight)))
+}
+
+// warm reports whether the averages have seen enough to decide by.
+func (estimate *estimate) warm(fast time.Duration) bool {
+	return estimate.observed.Sub(estimate.began) >= 2*fast
 }
 
 // follow ends the run in progress when the fast average crosses the slow one,
--- a/internal/coordination/roles/roles_test.go
+++ b/internal/coordination/roles/roles_test.go
@@ -108,6 +108,13 @@
 	}
 }
 
+func TestFirstWindowsAreNotEnough(t *testing.T) {
+	low := func(int) bool { return false }
+	if early, later := changesUnder(low, 20), changesUnder(low, 60); early != 0 || later == 0 {
+		t.Fatalf("%d changes within 20 s of the first window, %d within a minute", early, later)
+	}
+}
+
 func TestLostPhaseIsRestored(t *testing.T) {
 	cases := []struct {
 		name string
--- a/internal/transport/bench/engine.go
+++ b/internal/transport/bench/engine.go
@@ -45,7 +45,8 @@
 type modelEngine struct {
 	id       string
 	role     note.Role
-	gone     bool
+	gone     bool // changing or lost
+	lost     bool
 	stepping bool
 	prefills []*modelCall // prompts to process
 	active   []*modelCall // batch
--- a/internal/transport/bench/fleetmodel.go
+++ b/internal/transport/bench/fleetmodel.go
@@ -23,8 +23,8 @@
 	serviceLoadMean  = 1.2   // targets
 	loadNoise        = 0.05  // of the load, in each tick
 	weatherNoise     = 0.003 // of the load, added up over ticks
-	surgeFrom        = 95 * time.Minute
-	surgeUntil       = 115 * time.Minute
+	surgeFrom        = 40 * time.Minute
+	surgeUntil       = 60 * time.Minute
 	surgeFactor      = 1.5
 	cheapPrice       = 0.35 // of an on-demand target
 	usableCapacity   = 0.95 // of a target's time while answers are within limits
@@ -66,6 +66,7 @@
 	offered   float64
 	served    float64
 	cheap     float64 // served on cheap targets
+	time      float64 // of all targets, whatever their price
 	paid      float64 // in the price of on-demand targets
 	worst     float64 // the least share served in a tick
 	calls     int
@@ -177,6 +178,7 @@
 			if target.Cheap {
 				price = cheapPrice
 			}
+			model.result.time += fleetTick.Seconds()
 			model.result.paid += price * fleetTick.Seconds()
 			if target.Pool != modelPool || target.Phase != fleet.Serving {
 				continue
--- a/internal/transport/bench/policies.go
+++ b/internal/transport/bench/policies.go
@@ -19,12 +19,12 @@
 // 2 in goodput.
 const thresholdFactor = 2
 
-// roleScenario compares role policies on one shift, at a load per engine.
-func roleScenario(name, description string, shift shift, load float64) Scenario {
+// roleScenario compares role policies in one regime.
+func roleScenario(name, description string, regime regime) Scenario {
 	model := func(policy func() roles.Policy) func(uint64) Sample {
 		return func(seed uint64) Sample {
-			model := newRoleModel(seed, shift, load)
-			model.policy = policy()
+			engines := newEngines(regime.prefills, regime.decodes, note.RoleDecode)
+			model := &roleModel{regime: regime, random: newRandom(seed), policy: policy(), engines: engines}
 			return model.run().sample()
 		}
 	}
@@ -32,26 +32,28 @@
 		{Name: "persistence", Model: model(func() roles.Policy { return roles.New() })},
 		{Name: "never", Baseline: true, Model: model(func() roles.Policy { return roles.Never{} })},
 		{Name: "threshold", Baseline: true, Model: model(func() roles.Policy { return roles.NewThreshold(thresholdFactor) })},
-		{Name: "mixed", Baseline: true, Model: mixedModel(shift, load)},
+		{Name: "mixed", Baseline: true, Model: mixedModel(regime)},
 	}}
 }
 
 // mixedModel runs engines that are all mixed.
-func mixedModel(shift shift, load float64) func(uint64) Sample {
+func mixedModel(regime regime) func(uint64) Sample {
 	return func(seed uint64) Sample {
-		model := newRoleModel(seed, shift, load)
-		model.policy = roles.Never{}
-		model.engines = newEngines(0, roleEngines, note.RoleMixed)
+		engines := newEngines(0, regime.prefills+regime.decodes, note.RoleMixed)
+		model := &roleModel{regime: regime, random: newRandom(seed), policy: roles.Never{}, engines: engines}
 		return model.run().sample()
 	}
 }
 
-func newRoleModel(seed uint64, shift shift, load float64) *roleModel {
-	return &roleModel{
-		random: newRandom(seed), shift: shift, load: load,
-		overhead: mixedOverhead, change: roleChangeTime,
-		engines: newEngines(rolePrefills, roleEngines-rolePrefills, note.RoleDecode),
-	}
+// large is the regime of twelve engines under a shift.
+func large(shift shift, load float64) regime {
+	return regime{shift: shift, load: load, overhead: 1.5, prefills: 4, decodes: 8}
+}
+
+// small is the regime of three engines under a steady mix, in which a chunk of
+// a prompt costs no more for being mixed.
+func small(losses bool) regime {
+	return regime{shift: steadyShift, load: 0.4, overhead: 1, prefills: 1, decodes: 2, losses: losses}
 }
 
 func (result roleResult) sample() Sample {
@@ -83,7 +85,8 @@
 	return Sample{Measures: []Measure{
 		{"goodput", "%", 100 * result.served / result.offered},
 		{"worst tick", "%", 100 * result.worst},
-		{"paid", "target hours", result.paid / time.Hour.Seconds()},
+		{"target time", "h", result.time / time.Hour.Seconds()},
+		{"paid", "on-demand h", result.paid / time.Hour.Seconds()},
 		{"on cheap targets", "%", 100 * result.cheap / result.served},
 		{"cut calls", "", float64(result.cutCalls)},
 		{"refused calls", "", float64(result.lostCalls)},
--- a/internal/transport/bench/rolemodel.go
+++ b/internal/transport/bench/rolemodel.go
@@ -15,15 +15,22 @@
 // centre.
 type roleModel struct {
 	timeline
-	random   *rand.Rand
-	policy   roles.Policy
+	regime
+	random  *rand.Rand
+	policy  roles.Policy
+	engines []*modelEngine
+	window  roles.Demand
+	result  roleResult
+}
+
+// regime is the load and the engines of a role model.
+type regime struct {
 	shift    shift
-	overhead float64 // cost of a prompt token in a mixed step, over that alone
 	load     float64 // work offered per engine
-	change   time.Duration
-	engines  []*modelEngine
-	window   roles.Demand
-	result   roleResult
+	overhead float64 // cost of a prompt token in a mixed step, over that alone
+	prefills int     // engines that begin as prefill engines
+	decodes  int     // engines that begin as decode engines
+	losses   bool    // engines are lost for a while, one after another
 }
 
 // roleResult is what a run of a role model counts.
@@ -50,7 +57,8 @@
 	workPerCall    = 0.7              // engine seconds
 	sizeDeviation  = 0.5              // of the logarithm of prompt and output sizes
 	forecastError  = 0.3              // of the logarithm of the expected output size
-	mixedOverhead  = 1.5              // cost of a prompt token in a mixed step, over that alone
+	lossInterval   = 120 * time.Second
+	lossLength     = 40 * time.Second
 	roleChangeTime = 5 * time.Second
 	roleBaseShare  = 0.27
 	roleLowShare   = roleBaseShare / 2
@@ -95,6 +103,9 @@
 	model.result.steps = make([]tally, roleRun/roleStep+1)
 	model.every(shareNoiseTime, func() { noise = shareNoise * model.random.NormFloat64() })
 	model.every(roleWindow, model.decide)
+	if model.losses {
+		model.every(lossInterval, model.lose)
+	}
 	model.after(0, func() { model.arrive(&noise) })
 	model.runUntil(roleRun)
 	return model.result
@@ -245,7 +256,7 @@
 	states := make([]roles.EngineState, len(model.engines))
 	for index, engine := range model.engines {
 		states[index] = roles.EngineState{
-			ID: engine.id, Role: engine.role, Changing: engine.gone,
+			ID: engine.id, Role: engine.role, Changing: engine.gone && !engine.lost, Unready: engine.lost,
 			InFlight:   len(engine.prefills) + engine.sequences(),
 			PrefillTPS: enginePrefillTPS, DecodeTPS: engineDecodeTPS,
 		}
@@ -270,11 +281,23 @@
 		call.prefillLeft = call.prompt
 		model.admit(call)
 	}
-	model.after(model.change, func() {
+	model.after(roleChangeTime, func() {
 		engine.gone, engine.role = false, change.To
 	})
 }
 
+// lose takes the next engine away with all of its calls, and brings it back
+// after a while in the role that it had.
+func (model *roleModel) lose() {
+	engine := model.engines[int(model.now/lossInterval)%len(model.engines)]
+	if engine.gone {
+		return
+	}
+	engine.gone, engine.lost = true, true
+	engine.active, engine.waiting, engine.prefills = nil, nil, nil
+	model.after(lossLength, func() { engine.gone, engine.lost = false, false })
+}
+
 // newEngines returns prefill engines and others of a role.
 func newEngines(prefills, others int, role note.Role) []*modelEngine {
 	var engines []*modelEngine
--- a/internal/transport/bench/scenarios.go
+++ b/internal/transport/bench/scenarios.go
@@ -24,13 +24,16 @@
 // policyScenarios returns those that run models of single policies.
 func policyScenarios() []Scenario {
 	return []Scenario{
-		roleScenario("roles-steady", "Role changes under a steady mix, 12 engines at 75% load.", steadyShift, 0.75),
-		roleScenario("roles-step", "Role changes when the prefill share steps from 0.27 to 0.405, 0.135 and back.", stepShift, 0.75),
-		roleScenario("roles-ramp", "Role changes when the prefill share ramps to 0.405 and then to 0.135.", rampShift, 0.75),
-		roleScenario("roles-swing", "Role changes when the prefill share swings between 0.405 and 0.135 every 10 s.", swingShift, 0.75),
-		roleScenario("roles-step-90", "As roles-step, at 90% load.", stepShift, 0.9),
-		roleScenario("roles-ramp-90", "As roles-ramp, at 90% load.", rampShift, 0.9),
-		roleScenario("roles-swing-90", "As roles-swing, at 90% load.", swingShift, 0.9),
+		roleScenario("roles-steady", "Role changes under a steady mix, 12 engines at 75% load.", large(steadyShift, 0.75)),
+		roleScenario("roles-step", "Role changes when the prefill share steps from 0.27 to 0.405, 0.135 and back.", large(stepShift, 0.75)),
+		roleScenario("roles-ramp", "Role changes when the prefill share ramps to 0.405 and then to 0.135.", large(rampShift, 0.75)),
+		roleScenario("roles-swing", "Role changes when the prefill share swings between 0.405 and 0.135 every 10 s.", large(swingShift, 0.75)),
+		roleScenario("roles-step-90", "As roles-step, at 90% load.", large(stepShift, 0.9)),
+		roleScenario("roles-ramp-90", "As roles-ramp, at 90% load.", large(rampShift, 0.9)),
+		roleScenario("roles-swing-90", "As roles-swing, at 90% load.", large(swingShift, 0.9)),
+		roleScenario("roles-step-mixing", "As roles-step, at 60% load, with mixing that costs nothing.", regime{shift: stepShift, load: 0.6, overhead: 1, prefills: 4, decodes: 8}),
+		roleScenario("roles-small", "Roles of 3 engines at 40% load under a steady mix, with mixing that costs nothing.", small(false)),
+		roleScenario("roles-small-loss", "As roles-small, with one engine after another lost for 40 s.", small(true)),
 		fleetScenario("fleet-calm", "Capacity over two cycles of load in 3 data centres, cheap targets always there.", false, false),
 		fleetScenario("fleet-reclaim", "As fleet-calm, with zones reclaimed four times and no cheap targets for half an hour.", true, false),
 		fleetScenario("fleet-surge", "As fleet-reclaim, with the load half as high again within seconds for 20 min.", true, true),
