Weigh cache misses in the choice of a target

A target chosen by expected delay alone spread each prefix over many caches. The cost now counts a miss's prefill time three times in all, and the first owner of a prefix as holding it while its backlog is below twice the mean.

--- a/internal/coordination/route/node.go
+++ b/internal/coordination/route/node.go
@@ -39,6 +39,7 @@
 type member struct {
 	*node
 	target  *note.Target
+	rank    uint64  // orders the targets of a data centre for this instance
 	weight  float64 // share of its normal traffic, from its health
 	delay   float64 // seconds to reach its data centre
 	prefill float64 // tokens per second
--- a/internal/coordination/route/pick.go
+++ b/internal/coordination/route/pick.go
@@ -6,13 +6,10 @@
 )
 
 const (
-	scanLimit      = 64   // targets of a pool looked at per request
-	affinityBlocks = 8    // leading blocks that decide where a prompt belongs
-	loadBound      = 1.25 // factor on the mean backlog that affinity may cause
-	randomChoices  = 2
-	holderChoices  = 2
-	ownerChoices   = 2
-	candidateLimit = randomChoices + holderChoices + ownerChoices
+	scanLimit    = 64   // targets of a pool looked at per request
+	affinityHint = 0.95 // share of a prompt expected at the owner of its prefix
+	loadBound    = 2.0  // factor on the mean backlog up to which affinity counts
+	missWeight   = 2.0  // prefill time of a miss counts so often again, for what it evicts
 )
 
 // Chooser is the picker by expected cost among few candidates: the owners of
@@ -40,71 +37,82 @@
 
 // New returns a picker by expected cost.
 func New(opts ...Option) *Chooser {
-	chooser := &Chooser{random: rand.Uint64, hint: 0.5}
+	chooser := &Chooser{random: rand.Uint64, hint: affinityHint}
 	for _, opt := range opts {
 		opt(chooser)
 	}
 	return chooser
 }
 
-// candidates is the small set of targets that are compared by cost.
-type candidates struct {
-	members [candidateLimit]*member
-	count   int
-	owner   *member // first owner of the prefix, nil without one
-	mean    float64 // mean prefill backlog of the targets looked at
-}
-
 // Pick returns the candidate with the least expected cost.
 func (chooser *Chooser) Pick(view *View, request *Request) (Choice, error) {
 	pool := view.pools[request.pool()]
+	if choice, ok := chooser.pickByParts(pool, request, chooser.drawn); ok {
+		return choice, nil
+	}
+	if choice, ok := chooser.pickByParts(pool, request, always); ok {
+		return choice, nil
+	}
+	return Choice{}, noTarget(request)
+}
+
+// pickByParts looks at the farther targets of a large pool only when none of
+// the nearer ones can be used.
+func (chooser *Chooser) pickByParts(pool []*member, request *Request, takesPart func(*member) bool) (Choice, bool) {
 	for len(pool) > 0 {
 		part := pool[:min(len(pool), scanLimit)]
-		if choice, ok := chooser.pickFrom(part, request); ok {
-			return choice, nil
+		if choice, ok := chooser.pickFrom(part, request, takesPart); ok {
+			return choice, true
 		}
 		pool = pool[len(part):]
 	}
-	return Choice{}, noTarget(request)
+	return Choice{}, false
 }
 
-func (chooser *Chooser) pickFrom(pool []*member, request *Request) (Choice, bool) {
+func (chooser *Chooser) pickFrom(pool []*member, request *Request, takesPart func(*member) bool) (Choice, bool) {
 	var found candidates
-	chooser.collect(&found, pool, request)
-	best, bestCost := Choice{}, 0.0
+	chooser.collect(&found, pool, request, takesPart)
+	var best candidate
 	for _, member := range found.members[:found.count] {
-		choice, cost := chooser.rate(&found, member, request)
-		if best.node == nil || cost < bestCost {
-			best, bestCost = choice, cost
+		if rated := chooser.rate(&found, member, request); best.member == nil || rated.cost < best.cost {
+			best = rated
 		}
 	}
-	return best, best.node != nil
+	if best.member == nil {
+		return Choice{}, false
+	}
+	choice := choose(best.member, request, best.work, best.ahead)
+	choice.Cached = best.cached
+	return choice, true
 }
 
-func (chooser *Chooser) rate(found *candidates, member *member, request *Request) (Choice, float64) {
+// rate works out the expected cost of sending the request to a target, and
+// what a cache miss there costs later requests. The first owner of the prefix
+// counts as holding most of it, as other instances send it there too, unless
+// it has much more to do than the others.
+func (chooser *Chooser) rate(found *candidates, member *member, request *Request) candidate {
 	cached := member.expect(request)
 	ahead := member.ahead(request.Priority)
+	work := request.work(cached)
+	credit := cached
 	if member == found.owner && float64(ahead.PrefillTokens) <= loadBound*found.mean {
-		cached = max(cached, int(chooser.hint*float64(request.PromptTokens)))
+		credit = max(credit, int(chooser.hint*float64(request.PromptTokens)))
 	}
-	work := request.work(cached)
-	choice := choose(member, request, work, ahead)
-	choice.Cached = cached
-	return choice, member.cost(work, ahead)
+	missed := float64(request.PromptTokens-credit) / member.prefill
+	cost := member.cost(work, ahead) + missWeight*missed - float64(credit-cached)/member.prefill
+	return candidate{member: member, cached: cached, work: work, ahead: ahead, cost: cost}
 }
 
 // collect looks once at each target of the pool, from a random one on.
-func (chooser *Chooser) collect(found *candidates, pool []*member, request *Request) {
+func (chooser *Chooser) collect(found *candidates, pool []*member, request *Request, takesPart func(*member) bool) {
 	key, probe := affinity(request.Blocks)
-	var first, second *member
-	var firstRank, secondRank uint64
-	var holders [holderChoices]*member
-	held, usable, backlog := 0, 0, int64(0)
-	draw := chooser.random()
-	start := int(draw % uint64(len(pool)))
+	owners := owners{key: key}
+	var holders holders
+	usable, backlog := 0, int64(0)
+	start := int(chooser.random() % uint64(len(pool)))
 	for i := range pool {
 		member := pool[(start+i)%len(pool)]
-		if request.excludes(member.target.ID) || !chooser.drawn(member) {
+		if request.excludes(member.target.ID) || !takesPart(member) {
 			continue
 		}
 		usable++
@@ -112,30 +120,14 @@
 		if usable <= randomChoices {
 			found.add(member)
 		}
-		if key == 0 {
-			continue
-		}
-		switch rank := mix(key ^ member.hash); {
-		case first == nil || rank > firstRank:
-			second, secondRank = first, firstRank
-			first, firstRank = member, rank
-		case second == nil || rank > secondRank:
-			second, secondRank = member, rank
+		if key != 0 {
+			owners.see(member)
+			holders.see(member, probe)
 		}
-		if held < holderChoices && member.prefixes.has(probe) {
-			holders[held] = member
-			held++
-		}
-	}
-	if usable == 0 {
-		return
-	}
-	found.owner, found.mean = first, float64(backlog)/float64(usable)
-	found.add(first)
-	found.add(second)
-	for _, holder := range holders[:held] {
-		found.add(holder)
 	}
+	found.mean = float64(backlog) / float64(max(1, usable))
+	found.addOwners(&owners)
+	found.addHolders(&holders)
 }
 
 // drawn decides whether a target that returns from an ejection takes part.
@@ -144,27 +136,8 @@
 	return member.weight >= 1 || float64(chooser.random()%unit) < member.weight*unit
 }
 
-func (found *candidates) add(candidate *member) {
-	if candidate == nil {
-		return
-	}
-	for _, member := range found.members[:found.count] {
-		if member == candidate {
-			return
-		}
-	}
-	found.members[found.count] = candidate
-	found.count++
-}
-
-// affinity returns the hash that decides the owners of a prompt's prefix, and
-// the block whose presence shows that a target holds that prefix.
-func affinity(blocks []uint64) (key, probe uint64) {
-	if len(blocks) == 0 {
-		return 0, 0
-	}
-	probe = blocks[min(len(blocks), affinityBlocks)-1]
-	return mix(probe) | 1, probe
+func always(*member) bool {
+	return true
 }
 
 func choose(member *member, request *Request, work, ahead Work) Choice {
@@ -173,15 +146,6 @@
 		Work:     work,
 		Priority: request.Priority,
 		Delay:    time.Duration(member.firstToken(work, ahead) * float64(time.Second)),
-		node:     member.node,
+		flight:   &flight{node: member.node},
 	}
 }
-
-// mix spreads the bits of a hash.
-func mix(value uint64) uint64 {
-	value ^= value >> 30
-	value *= 0xbf58476d1ce4e5b9
-	value ^= value >> 27
-	value *= 0x94d049bb133111eb
-	return value ^ value>>31
-}
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -39,13 +39,14 @@
 }
 
 // Choice is the target picked for a request and the work that it adds there.
+// Copies of a choice share its state.
 type Choice struct {
 	Target   *note.Target
 	Work     Work
 	Priority Priority
 	Cached   int           // prompt tokens expected in the target's cache
 	Delay    time.Duration // expected delay until the first token
-	node     *node
+	flight   *flight
 }
 
 // Picker chooses a target. Its methods may be called by several goroutines.
@@ -55,23 +56,6 @@
 	Pick(view *View, request *Request) (Choice, error)
 }
 
-// Done takes the work of a started choice out of the counters. It has to be
-// called exactly once for each Start.
-func (choice Choice) Done() {
-	choice.DoneAt(time.Now())
-}
-
-// DoneAt is Done at a given time.
-func (choice Choice) DoneAt(now time.Time) {
-	choice.node.own.add(now, choice.Priority, choice.Work.negate())
-}
-
-// Learn tells the table that the target found cached prompt tokens of the
-// request in its cache, where Cached were expected.
-func (choice Choice) Learn(cached int) {
-	choice.node.prefixes.learn(choice.Cached, cached)
-}
-
 func (request *Request) pool() poolKey {
 	role := request.Role
 	if role == "" {
--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -90,13 +91,15 @@
 }
 
 // SetWeights sets the shares of normal traffic by the targets' health, 1 for
-// those not listed, and publishes a view. A target with the weight 0 is not
+// those not listed, and publishes a view if they changed. A target with the weight 0 is not
 // picked.
 func (table *Table) SetWeights(weights map[string]float64) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	table.weights = weights
-	table.publish()
+	if !maps.Equal(table.weights, weights) {
+		table.weights = maps.Clone(weights)
+		table.publish()
+	}
 }
 
 // Report takes a target's report of its load. A report older than the newest
@@ -196,7 +199,7 @@
 }
 
 func (table *Table) publish() {
-	view := newView()
+	view, seed := newView(), xxhash.Sum64String(table.instance)
 	for i := range table.targets {
 		target := &table.targets[i]
 		weight, listed := table.weights[target.ID]
@@ -207,7 +210,9 @@
 			continue
 		}
 		distance := table.distances[target.DataCenter].Seconds()
-		view.add(newMember(table.nodes[target.ID], &target.Target, weight, distance))
+		member := newMember(table.nodes[target.ID], &target.Target, weight, distance)
+		member.rank = mix(member.hash ^ seed)
+		view.add(member)
 	}
 	for key, pool := range view.pools {
 		view.pools[key] = table.selectSubset(pool)
@@ -219,12 +224,11 @@
 // data centre first. Rendezvous hashing spreads the instances over all
 // targets and moves few of them when targets come and go.
 func (table *Table) selectSubset(pool []*member) []*member {
-	seed := xxhash.Sum64String(table.instance)
 	slices.SortFunc(pool, func(a, b *member) int {
 		return cmp.Or(
 			cmp.Compare(a.delay, b.delay),
 			cmp.Compare(a.target.DataCenter, b.target.DataCenter),
-			cmp.Compare(mix(b.hash^seed), mix(a.hash^seed)),
+			cmp.Compare(b.rank, a.rank),
 		)
 	})
 	kept, taken := pool[:0], 0
--- a/internal/coordination/route/view.go
+++ b/internal/coordination/route/view.go
@@ -19,21 +19,24 @@
 	repeatable bool
 }
 
-// Start counts the choice's work as in flight. The choice's Done ends it.
+// Start counts the choice's work as in flight, once. The choice's FirstToken
+// and Done take it out again.
 func (view *View) Start(choice Choice) {
 	view.StartAt(choice, time.Now())
 }
 
 // StartAt is Start at a given time.
 func (view *View) StartAt(choice Choice, now time.Time) {
-	choice.node.own.add(now, choice.Priority, choice.Work)
+	if choice.flight.phase.CompareAndSwap(phaseIdle, phasePrefill) {
+		choice.flight.node.own.add(now, choice.Priority, choice.Work)
+	}
 }
 
 // Sent remembers that the blocks of a request went to the target, which now
 // holds them as far as is known.
 func (view *View) Sent(choice Choice, blocks []uint64) {
 	if len(blocks) > 0 {
-		choice.node.prefixes.store(blocks)
+		choice.flight.node.prefixes.store(blocks)
 	}
 }
 
