Give an instance the fleet's unused capacity without starving teams

Weights by each team's momentary demand starved teams whose demand was small when sampled: with one team flooding, 7 instances and 8 teams, the others got 59% served. Now only a team that asks for more than its part has its weight divided among instances, and an instance whose teams all have what they ask for keeps its even part.

--- a/internal/coordination/admit/scheduler.go
+++ b/internal/coordination/admit/scheduler.go
@@ -102,7 +102,7 @@
 	team := ticket.team
 	scheduler.running = max(0, scheduler.running-ticket.Request.Cost)
 	team.running = max(0, team.running-ticket.Request.Cost)
-	difference := (actualCost - ticket.Request.Cost) / team.tag()
+	difference := (actualCost - ticket.Request.Cost) / team.share()
 	team.finish += difference
 	if team.index >= 0 {
 		team.start += difference
@@ -134,7 +134,7 @@
 func (scheduler *Scheduler) grant(now time.Time, ticket *Ticket) {
 	team, cost := ticket.team, ticket.Request.Cost
 	scheduler.virtual = max(scheduler.virtual, team.start)
-	team.finish = team.start + cost/team.tag()
+	team.finish = team.start + cost/team.share()
 	scheduler.latest = max(scheduler.latest, team.finish)
 	team.running += cost
 	scheduler.running += cost
@@ -151,7 +151,7 @@
 	if team.index < 0 {
 		team.start = max(scheduler.virtual, team.finish)
 		heap.Push(&scheduler.active, team)
-		scheduler.weights += team.tag()
+		scheduler.weights += team.share()
 	}
 }
 
@@ -167,7 +167,7 @@
 		return
 	}
 	heap.Remove(&scheduler.active, team.index)
-	scheduler.weights -= team.tag()
+	scheduler.weights -= team.share()
 }
 
 // refuse returns why a request that would have to wait can't be taken in.
@@ -195,29 +195,29 @@
 	}
 	weights := scheduler.weights
 	if team.index < 0 {
-		weights += team.tag()
+		weights += team.share()
 	}
-	rate := scheduler.drain.rate * team.tag() / weights
+	rate := scheduler.drain.rate * team.share() / weights
 	return time.Duration(ahead / rate * float64(time.Second))
 }
 
 func (scheduler *Scheduler) teamOf(request *Request) *team {
 	if known, ok := scheduler.teams[request.Team]; ok {
-		scheduler.reweigh(known, request.weight(), known.share)
+		scheduler.reweigh(known, request.weight(), known.part)
 		return known
 	}
 	scheduler.sweep()
-	share := scheduler.exchange.shares[request.Team]
-	fresh := &team{name: request.Team, weight: request.weight(), share: share, index: -1}
+	part := scheduler.exchange.fraction(request.Team)
+	fresh := &team{name: request.Team, weight: request.weight(), part: part, index: -1}
 	scheduler.teams[request.Team] = fresh
 	return fresh
 }
 
-func (scheduler *Scheduler) reweigh(team *team, weight, share float64) {
-	before := team.tag()
-	team.weight, team.share = weight, share
+func (scheduler *Scheduler) reweigh(team *team, weight, part float64) {
+	before := team.share()
+	team.weight, team.part = weight, part
 	if team.index >= 0 {
-		scheduler.weights += team.tag() - before
+		scheduler.weights += team.share() - before
 	}
 }
 
--- a/internal/coordination/admit/share.go
+++ b/internal/coordination/admit/share.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	peerSilence  = 3 * time.Second // after which a peer counts as silent
-	reserveShare = 0.25            // part of its even share that an instance without demand keeps
+	peerSilence = 3 * time.Second // after which a peer counts as silent
+	fractionMin = 0.25            // part of an even share that an instance or a team at it has at least
 )
 
 // Demand is the work that a team has at one instance, in flight and waiting.
@@ -27,8 +27,15 @@
 
 // exchange is what this instance may use, by the newest exchange.
 type exchange struct {
-	limit  float64            // cost units in flight
-	shares map[string]float64 // cost units per team, a part of limit
+	limit     float64            // cost units in flight
+	fractions map[string]float64 // part of its weight that a team has here, 1 if absent
+}
+
+func (exchange *exchange) fraction(team string) float64 {
+	if fraction, ok := exchange.fractions[team]; ok {
+		return fraction
+	}
+	return 1
 }
 
 // Demand returns what this instance's peers have to know.
@@ -64,24 +71,37 @@
 	pool := even * float64(len(heard)+1)
 	scheduler.exchange = divide(pool, even, scheduler.Demand(), heard)
 	for name, team := range scheduler.teams {
-		scheduler.reweigh(team, team.weight, scheduler.exchange.shares[name])
+		scheduler.reweigh(team, team.weight, scheduler.exchange.fraction(name))
 	}
 }
 
 // divide gives each team a weighted max-min fair part of the pool, and this
 // instance its part of that in proportion to its own demand of the team. What
-// no team asks for is divided evenly.
+// no team asks for is divided evenly. An instance all of whose teams have what
+// they ask for may use its even part, so that work which arrives between two
+// exchanges need not wait; others use that part only as far as it was unused.
+//
+// A team that asks for more than its part shares it among the instances by
+// its weight there. One that asks for less has its whole weight everywhere.
 func divide(pool, even float64, own []Demand, peers [][]Demand) exchange {
 	total := sum(own, peers)
 	parts, rest := maxMin(pool, total)
-	result := exchange{shares: make(map[string]float64, len(own))}
+	result := exchange{limit: rest / float64(len(peers)+1), fractions: map[string]float64{}}
+	for team, demand := range total {
+		if parts[team] < demand.Units {
+			result.fractions[team] = fractionMin / float64(len(peers)+1)
+		}
+	}
+	least := even
 	for _, demand := range own {
-		share := parts[demand.Team] * demand.Units / total[demand.Team].Units
-		result.shares[demand.Team] = share
-		result.limit += share
+		fraction := demand.Units / total[demand.Team].Units
+		result.limit += fraction * parts[demand.Team]
+		if floor, ok := result.fractions[demand.Team]; ok {
+			result.fractions[demand.Team] = max(floor, fraction)
+			least = even * fractionMin
+		}
 	}
-	result.limit += rest / float64(len(peers)+1)
-	result.limit = max(result.limit, even*reserveShare)
+	result.limit = max(result.limit, least)
 	return result
 }
 
--- a/internal/coordination/admit/ticket.go
+++ b/internal/coordination/admit/ticket.go
@@ -53,7 +53,7 @@
 type team struct {
 	name    string
 	weight  float64
-	share   float64 // cost units of capacity allotted by exchange, 0 for none
+	part    float64 // part of the weight that the team has at this instance
 	waiting tickets
 	queued  float64 // cost units that wait
 	running float64 // cost units in flight
@@ -62,12 +62,9 @@
 	index   int     // place among the active teams, -1 when nothing waits
 }
 
-// tag returns the weight by which virtual time advances for the team.
-func (team *team) tag() float64 {
-	if team.share > 0 {
-		return team.share
-	}
-	return team.weight
+// share returns the weight against which the team's work is charged here.
+func (team *team) share() float64 {
+	return team.weight * team.part
 }
 
 func (team *team) push(ticket *Ticket) {
