--- a/internal/coordination/admit/scheduler_test.go
+++ b/internal/coordination/admit/scheduler_test.go
@@ -260,3 +260,17 @@
 		t.Fatalf("granted %v of 25 more", granted)
 	}
 }
+
+// TestIdleInstanceKeepsItsPart has an instance without work hear of a flood
+// elsewhere, and then get work of its own.
+func TestIdleInstanceKeepsItsPart(t *testing.T) {
+	scheduler, now := admit.NewScheduler(admit.WithCapacity(70)), time.UnixMilli(1e12)
+	flood := admit.Peer{Name: "p", At: now, Demands: []admit.Demand{{Team: "flood", Weight: 1, Units: 500}}}
+	scheduler.Exchange(now, 2, []admit.Peer{flood})
+	for i := range 36 {
+		ticket, err := scheduler.Offer(now, admit.Request{Team: "a", Cost: 1})
+		if err != nil || ticket.Granted() != (i < 35) {
+			t.Fatalf("request %d: %v, %v", i, ticket, err)
+		}
+	}
+}
