Let retries that reached no target pass without the budget

go test ./internal/coordination/retry -run xxx -bench Storm -benchtime 1x

Removed one at a time, each seen red: the check of what may run twice, the true run state, the deadline, the limit of tries, the budget and its limit, the caller's leaving, the answer begun, the conditions of resume and hedges.

--- a/internal/coordination/retry/policy.go
+++ b/internal/coordination/retry/policy.go
@@ -83,7 +83,7 @@
 	case action == Answer,
 		attempt.Tries >= policy.tries,
 		!inTime(now.Add(delay), &attempt),
-		!policy.retries.Spend(now):
+		!policy.allows(now, &attempt):
 		return Decision{Action: Answer, Err: attempt.answer()}
 	default:
 		return Decision{Action: action, Delay: delay}
@@ -122,6 +122,13 @@
 	return policy.hedges.Spend(now)
 }
 
+// allows spends the budget of retries. A retry after an attempt that reached
+// no target is free, as it puts no more load on the targets than the request
+// itself.
+func (policy *Policy) allows(now time.Time, attempt *Attempt) bool {
+	return attempt.State == NotSent || policy.retries.Spend(now)
+}
+
 // backoff returns a jittered delay. The first retry goes out at once, as it
 // goes to another target.
 func (policy *Policy) backoff(tries int) time.Duration {
