Compare first bytes by what was expected of them

A target with long prompts looked slow beside one with short ones. Events carry the expected delay; the prompt tokens serve where it is not known.

--- a/internal/coordination/health/option.go
+++ b/internal/coordination/health/option.go
@@ -16,6 +16,7 @@
 	observationsMin  = 10  // before rates count
 	weightFirst      = 0.1 // weight at the begin of the return
 	slowFloor        = 50 * time.Millisecond
+	nominalTPS       = 8000.0 // prompt tokens per second, to compare unlike prompts
 )
 
 type config struct {
--- a/internal/coordination/health/tracker.go
+++ b/internal/coordination/health/tracker.go
@@ -20,7 +20,7 @@
 	Member
 	failures     int     // in a row
 	errors       float64 // smoothed share of failures
-	firstByte    float64 // smoothed seconds until the first byte
+	slowness     float64 // smoothed, of first bytes
 	observations int
 	ejections    int       // without a full return in between
 	until        time.Time // end of the ejection, zero when there was none
@@ -97,7 +97,7 @@
 	}
 	state.errors += gain * (failed - state.errors)
 	if event.Outcome == Success && event.FirstByte > 0 {
-		state.firstByte += gain * (event.FirstByte.Seconds() - state.firstByte)
+		state.slowness += gain * (event.slowness() - state.slowness)
 	}
 }
 
@@ -115,25 +115,24 @@
 	if state.errors >= tracker.config.errorRate {
 		return true
 	}
-	median := tracker.medianFirstByte(state)
-	bound := max(slowFloor.Seconds(), tracker.config.slowness*median)
-	return median > 0 && state.firstByte > bound
+	median := tracker.medianSlowness(state)
+	return median > 0 && state.slowness > max(1, tracker.config.slowness*median)
 }
 
-// medianFirstByte returns the median of the others of the group, 0 when too
+// medianSlowness returns the median of the others of the group, 0 when too
 // little is known.
-func (tracker *Tracker) medianFirstByte(except *state) float64 {
-	var times []float64
+func (tracker *Tracker) medianSlowness(except *state) float64 {
+	var values []float64
 	for _, state := range tracker.groups[except.Group] {
 		if state != except && state.observations >= observationsMin {
-			times = append(times, state.firstByte)
+			values = append(values, state.slowness)
 		}
 	}
-	if len(times) < 2 {
+	if len(values) < 2 {
 		return 0
 	}
-	slices.Sort(times)
-	return times[len(times)/2]
+	slices.Sort(values)
+	return values[len(values)/2]
 }
 
 // eject takes a target out unless too much of its group is out already. Each
@@ -148,7 +147,7 @@
 	length := min(ejectionMax, tracker.config.ejection<<min(state.ejections, 16))
 	state.ejections++
 	state.until = now.Add(length)
-	state.failures, state.errors, state.firstByte, state.observations = 0, 0, 0, 0
+	state.failures, state.errors, state.slowness, state.observations = 0, 0, 0, 0
 	return true
 }
 
