Clear innocent requests beside one that crashes targets

One crash is told by each request that fails by it and counts once. The loss of three targets within two seconds blames nobody whom only one of them ran. A suspect whose crashes others explain is cleared, and its losses count again if it crashes another target.

--- a/internal/coordination/poison/blame.go
+++ b/internal/coordination/poison/blame.go
@@ -5,54 +5,101 @@
 	"time"
 )
 
-// blame counts a crash against a request.
-func (tracker *Tracker) blame(fingerprint Fingerprint, target string, now time.Time) {
+const (
+	crashWindow = 2 * time.Second // within which losses count as one event
+	massLosses  = 3               // targets lost in one event that has another cause
+)
+
+// record remembers a crash, or adds to its record when it was told of before.
+func (tracker *Tracker) record(target string, ran []Fingerprint, now time.Time) {
+	for i := range tracker.crashes {
+		known := &tracker.crashes[i]
+		if known.target == target && now.Sub(known.at) < crashWindow {
+			known.ran = slices.Compact(slices.Sorted(slices.Values(slices.Concat(known.ran, ran))))
+			return
+		}
+	}
+	tracker.crashes = append(tracker.crashes, crash{target, now, ran})
+}
+
+// pardonMassLoss clears those that ran at only one of several targets which
+// were lost almost at once: a data centre's loss, not theirs.
+func (tracker *Tracker) pardonMassLoss(now time.Time) {
+	recent := slices.DeleteFunc(slices.Clone(tracker.crashes), func(crash crash) bool {
+		return now.Sub(crash.at) >= crashWindow
+	})
+	if len(recent) < massLosses {
+		return
+	}
+	for _, crash := range recent {
+		for _, fingerprint := range crash.ran {
+			if suspect, ok := tracker.suspects[fingerprint]; ok && len(suspect.Lost) == 1 {
+				tracker.clear(suspect, now)
+			}
+		}
+	}
+}
+
+// blame counts a crash against a request, and with it what was lost under it
+// just before, which may have been pardoned as a loss of several targets.
+func (tracker *Tracker) blame(fingerprint Fingerprint, now time.Time) {
 	suspect, ok := tracker.suspects[fingerprint]
 	if !ok || now.Sub(suspect.Last) >= tracker.config.expiry {
 		tracker.makeRoom()
 		suspect = &Suspect{Fingerprint: fingerprint}
 		tracker.suspects[fingerprint] = suspect
 	}
-	if suspect.Cleared {
-		suspect.Cleared, suspect.Lost = false, nil
+	suspect.Cleared, suspect.Last = false, now
+	for _, crash := range tracker.crashes {
+		if now.Sub(crash.at) < crashWindow && slices.Contains(crash.ran, fingerprint) {
+			suspect.Lost = insert(suspect.Lost, crash.target, tracker.config.losses)
+		}
 	}
-	suspect.Lost = insert(suspect.Lost, target, tracker.config.losses)
-	suspect.Last = now
 }
 
-// clearNeighbours clears the suspects all of whose crashes are explained by a
-// quarantined request that ran in each of them and was lost more often.
+// clearNeighbours clears the suspects all of whose crashes are explained by
+// other requests. Their losses count again if they crash another target.
 func (tracker *Tracker) clearNeighbours(now time.Time) {
 	for _, suspect := range tracker.suspects {
-		if tracker.check(suspect.Fingerprint, now) == Alone && tracker.explained(suspect, now) {
-			tracker.clear(suspect, now)
+		if tracker.check(suspect.Fingerprint, now) != Clear && tracker.explained(suspect, now) {
+			suspect.Cleared, suspect.Last = true, now
 		}
 	}
 }
 
+// explained reports whether another request is to blame for each crash that
+// the suspect ran in.
 func (tracker *Tracker) explained(suspect *Suspect, now time.Time) bool {
 	explained := 0
 	for _, crash := range tracker.crashes {
 		if !slices.Contains(crash.ran, suspect.Fingerprint) {
 			continue
 		}
-		if !tracker.hasGuilty(crash, now) {
+		if !tracker.hasGuilty(crash, suspect, now) {
 			return false
 		}
 		explained++
 	}
-	return explained > 0
+	return explained > 0 && explained >= len(suspect.Lost)
 }
 
-func (tracker *Tracker) hasGuilty(crash crash, now time.Time) bool {
+// hasGuilty reports whether a quarantined request ran in the crash that has
+// also lost a target without the suspect.
+func (tracker *Tracker) hasGuilty(crash crash, suspect *Suspect, now time.Time) bool {
 	for _, fingerprint := range crash.ran {
-		if tracker.check(fingerprint, now) == Quarantined {
-			return true
+		if fingerprint == suspect.Fingerprint || tracker.check(fingerprint, now) != Quarantined {
+			continue
+		}
+		for _, target := range tracker.suspects[fingerprint].Lost {
+			if !slices.Contains(suspect.Lost, target) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
+// clear forgets what was lost under a request that is known to be innocent.
 func (tracker *Tracker) clear(suspect *Suspect, now time.Time) {
 	suspect.Cleared, suspect.Lost, suspect.Last = true, nil, now
 }
@@ -87,6 +134,9 @@
 }
 
 func lighter(a, b *Suspect) bool {
+	if a.Cleared != b.Cleared {
+		return a.Cleared
+	}
 	if len(a.Lost) != len(b.Lost) {
 		return len(a.Lost) < len(b.Lost)
 	}
--- a/internal/coordination/poison/poison.go
+++ b/internal/coordination/poison/poison.go
@@ -4,7 +4,8 @@
 // A request is known by a fingerprint. A target's crash makes suspects of all
 // requests that it ran. A suspect may run again, but with no other suspect
 // beside it. One that has lost two distinct targets is quarantined, and those
-// that shared its crashes are cleared. A completed run clears a suspect.
+// whose crashes it explains are cleared. A completed run clears a suspect, and
+// so does the loss of several targets at once.
 package poison
 
 import (
@@ -57,12 +58,13 @@
 	suspects map[Fingerprint]*Suspect
 	running  map[string]map[Fingerprint]int // by target
 	crashes  []crash                        // newest last
+	freed    chan struct{}
 }
 
 // crash is one target's loss and the requests that it ran.
 type crash struct {
 	target string
-	at     time.Time
+	at     time.Time // when it was first told of
 	ran    []Fingerprint
 }
 
@@ -72,6 +74,7 @@
 		config:   newConfig(opts),
 		suspects: map[Fingerprint]*Suspect{},
 		running:  map[string]map[Fingerprint]int{},
+		freed:    make(chan struct{}),
 	}
 }
 
@@ -112,22 +115,32 @@
 }
 
 // Crashed records that a target crashed, and returns the requests that it ran
-// by this instance. It is not for targets that were stopped or reclaimed. The
-// requests' End still has to be called.
+// by this instance. It may be called for each request that failed by the same
+// crash. It is not for targets that were stopped or reclaimed. The requests'
+// End still has to be called.
 func (tracker *Tracker) Crashed(target string) []Fingerprint {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	now := time.Now()
 	ran := slices.Sorted(maps.Keys(tracker.running[target]))
-	tracker.crashes = append(tracker.crashes, crash{target, now, ran})
+	tracker.record(target, ran, now)
 	tracker.expire(now)
 	for _, fingerprint := range ran {
-		tracker.blame(fingerprint, target, now)
+		tracker.blame(fingerprint, now)
 	}
+	tracker.pardonMassLoss(now)
 	tracker.clearNeighbours(now)
 	return ran
 }
 
+// Freed returns a channel that is closed when a request leaves a target the
+// next time, so that one which has to run alone may find room.
+func (tracker *Tracker) Freed() <-chan struct{} {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.freed
+}
+
 // Size returns how many suspects are remembered.
 func (tracker *Tracker) Size() int {
 	tracker.mutex.Lock()
@@ -157,6 +170,8 @@
 }
 
 func (tracker *Tracker) leave(fingerprint Fingerprint, target string) {
+	close(tracker.freed)
+	tracker.freed = make(chan struct{})
 	running := tracker.running[target]
 	running[fingerprint]--
 	if running[fingerprint] <= 0 {
