--- a/internal/coordination/usage/copy.go
+++ b/internal/coordination/usage/copy.go
@@ -55,48 +55,57 @@
 	}
 }
 
-// copyRound copies all that was counted before it began. The round is replaced
-// first, so that each record that waits for it is in a tally by then.
+// copyRound copies what changed since the last copy, and wakes the records that
+// wait for it. A replica that does not have all counts gets them then.
 func (meter *Meter) copyRound(ctx context.Context) {
-	round, atMS := meter.beginRound()
-	batches := meter.changes(atMS)
-	holder, err := meter.place(ctx, batches)
-	if err != nil {
-		meter.returnChanges(batches)
+	holder, whole := meter.copyChanges(ctx)
+	if holder != "" && !whole {
+		meter.follow(ctx, holder)
 	}
-	meter.endRound(round)
+}
+
+// copyChanges returns the replica that took the changes, and whether that
+// replica has all earlier ones.
+func (meter *Meter) copyChanges(ctx context.Context) (string, bool) {
+	meter.path.RLock()
+	defer meter.path.RUnlock()
+	round, batches, expected := meter.beginRound()
+	holder, err := meter.place(ctx, batches)
 	round.err = err
 	close(round.done)
 	meter.degraded.Store(err != nil)
-	if err == nil {
-		meter.follow(ctx, holder)
-	}
+	whole := err == nil && holder == expected
+	meter.endRound(round, batches, whole)
+	return holder, whole
 }
 
-// beginRound returns the round to copy and the time up to which all counts are
-// in it or confirmed. Counts of a round that fails wait for a copy again.
-func (meter *Meter) beginRound() (*round, int64) {
-	meter.mu.Lock()
-	defer meter.mu.Unlock()
-	now := time.Now().UnixMilli()
-	atMS := now
-	for _, began := range meter.rounds {
-		atMS = min(atMS, began)
-	}
+// beginRound takes the changes and replaces the round that records wait for.
+// The round is replaced first, so that each record that waits for it is in a
+// tally by then.
+func (meter *Meter) beginRound() (*round, []Batch, string) {
+	meter.progress.mu.Lock()
+	defer meter.progress.mu.Unlock()
 	round := meter.pending.Swap(newRound())
-	meter.rounds[round] = now
-	return round, atMS
+	atMS := meter.progress.begin(round, time.Now().UnixMilli())
+	expected := meter.Status().Holder
+	batches := meter.changes(atMS, expected)
+	return round, batches, expected
 }
 
-func (meter *Meter) endRound(round *round) {
-	meter.mu.Lock()
-	defer meter.mu.Unlock()
-	delete(meter.rounds, round)
+// endRound makes the changes wait for a copy again if they were not confirmed
+// by the replica that has all the others.
+func (meter *Meter) endRound(round *round, batches []Batch, whole bool) {
+	meter.progress.mu.Lock()
+	defer meter.progress.mu.Unlock()
+	if !whole {
+		meter.returnChanges(batches)
+	}
+	meter.progress.end(round, whole)
 }
 
 // changes returns what changed since the last copy, or an empty batch of the
 // current window.
-func (meter *Meter) changes(atMS int64) []Batch {
+func (meter *Meter) changes(atMS int64, holder string) []Batch {
 	var batches []Batch
 	for _, tally := range meter.unsettled() {
 		if lines := tally.takeDirty(); len(lines) > 0 {
@@ -106,6 +115,9 @@
 	if len(batches) == 0 {
 		batches = append(batches, meter.batch(meter.current.Load().window, nil, atMS))
 	}
+	for i := range batches {
+		batches[i].Holder = holder
+	}
 	return batches
 }
 
@@ -147,31 +159,27 @@
 	return holder, err
 }
 
-// follow gives a new holder all figures that are not settled, since the one
-// before it may be lost.
+// follow gives a new holder all counts that are not settled, since the one
+// before it may be lost. No other copy is on its way meanwhile.
 func (meter *Meter) follow(ctx context.Context, holder string) {
-	meter.mu.Lock()
-	changed := holder != meter.holder
-	meter.holder = holder
-	meter.mu.Unlock()
-	if !changed {
+	meter.path.Lock()
+	defer meter.path.Unlock()
+	if meter.Status().Holder == holder {
 		return
 	}
-	batches := meter.whole()
-	placed, err := meter.place(ctx, batches)
-	if err != nil || placed != holder {
-		meter.returnChanges(batches)
-	}
-}
-
-// whole returns all figures that are not settled. They say nothing of the time
-// up to which they are complete.
-func (meter *Meter) whole() []Batch {
+	atMS := time.Now().UnixMilli()
 	var batches []Batch
 	for _, tally := range meter.unsettled() {
-		batches = append(batches, meter.batch(tally.window, tally.lines(), 0))
+		batch := meter.batch(tally.window, tally.lines(), atMS)
+		batch.Holder = holder
+		batches = append(batches, batch)
+	}
+	placed, err := meter.place(ctx, batches)
+	if err == nil && placed == holder {
+		meter.mu.Lock()
+		meter.holder = holder
+		meter.mu.Unlock()
 	}
-	return batches
 }
 
 // Handoff ends all windows and gives their final figures to a replica, so that
--- a/internal/coordination/usage/fallback.go
+++ b/internal/coordination/usage/fallback.go
@@ -107,7 +107,7 @@
 		}
 		figures.add(before)
 	}
-	figures.add(batch)
+	figures.add(batch.heldBy(copyPrefix))
 	return encode(name, row.Version, figures.whole())
 }
 
--- a/internal/coordination/usage/freezer.go
+++ b/internal/coordination/usage/freezer.go
@@ -75,6 +75,8 @@
 
 	ledger     ledger // of the window before next
 	ledgerHash string
+	opened     Window // the window whose ticket this Freezer may have open, 0 for none
+	taken      Window // the last window that the platform took from this Freezer
 }
 
 // NewFreezer returns a Freezer. Start runs it.
@@ -129,6 +131,7 @@
 func (freezer *Freezer) step(ctx context.Context) time.Duration {
 	if !freezer.duty.Held() {
 		freezer.publish(head{}, "")
+		freezer.leave(ctx)
 		return freezer.retryDelay()
 	}
 	head, version, err := freezer.readHead(ctx)
--- a/internal/coordination/usage/freezer_test.go
+++ b/internal/coordination/usage/freezer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,14 +34,14 @@
 // duty is a lease that is held while its row has the version.
 type duty struct {
 	version uint64
-	held    bool
+	held    atomic.Bool
 }
 
 func (duty *duty) Check() table.Write {
 	return table.Write{Key: "lease", Version: duty.version, CheckOnly: true}
 }
 
-func (duty *duty) Held() bool { return duty.held }
+func (duty *duty) Held() bool { return duty.held.Load() }
 
 func lead(t *testing.T, client *memory.Client) *duty {
 	t.Helper()
@@ -56,7 +57,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &duty{version: row.Version, held: true}
+	duty := &duty{version: row.Version}
+	duty.held.Store(true)
+	return duty
 }
 
 type sourceFunc func(ask usage.Ask) ([]usage.Batch, []string, error)
--- a/internal/coordination/usage/holder.go
+++ b/internal/coordination/usage/holder.go
@@ -56,12 +56,12 @@
 		return "", code.Errorf(code.BodyMemoryFull, "the copies hold %d lines already", holder.lines)
 	}
 	for _, batch := range batches {
-		holder.add(batch)
+		holder.add(batch.heldBy(holder.name))
 	}
 	return holder.name, nil
 }
 
-// Collect forgets what is settled, and returns the copies of the windows of an
+// Collect forgets what is settled or behind the horizon, and returns the copies of the windows of an
 // Ask that are not.
 func (holder *Holder) Collect(ask Ask) []Batch {
 	holder.mu.Lock()
@@ -69,7 +69,8 @@
 	through := ask.through()
 	var batches []Batch
 	for key, figures := range holder.held {
-		if last, ok := through[key.origin]; ok && key.window <= last {
+		last, ok := through[key.origin]
+		if ok && key.window <= last || key.window <= ask.Window-holder.settings.horizon {
 			holder.remove(key)
 			continue
 		}
--- a/internal/coordination/usage/merge.go
+++ b/internal/coordination/usage/merge.go
@@ -33,6 +33,7 @@
 	before := len(figures.lines)
 	figures.batch.Sequence = max(figures.batch.Sequence, batch.Sequence)
 	figures.batch.AtMS = max(figures.batch.AtMS, batch.AtMS)
+	figures.batch.Holder = max(figures.batch.Holder, batch.Holder)
 	figures.batch.Final = figures.batch.Final || batch.Final
 	for _, line := range batch.Lines {
 		figures.lines[line.key()] = line.max(figures.lines[line.key()])
--- a/internal/coordination/usage/meter.go
+++ b/internal/coordination/usage/meter.go
@@ -32,17 +32,20 @@
 	sequence atomic.Uint64
 	degraded atomic.Bool
 
+	path     sync.RWMutex // held for reading by each copy, for writing by a change of holder
+	progress progress
+
 	mu      sync.Mutex
 	tallies map[Window]*tally // windows that are not settled
-	rounds  map[*round]int64  // wall clock in ms at which each unconfirmed round began
-	holder  string            // who answered the last copy
+	holder  string            // the replica that has all counts
 	random  *rand.Rand
 }
 
 // round is a set of records that wait for the same copy.
 type round struct {
-	done chan struct{}
-	err  error // set before done is closed
+	done    chan struct{}
+	err     error // set before done is closed
+	sinceMS int64 // wall clock after which all its counts were made
 }
 
 func newRound() *round {
@@ -70,7 +73,7 @@
 		metrics:  newMeterMetrics(settings.registerer),
 		wake:     make(chan struct{}, 1),
 		tallies:  map[Window]*tally{},
-		rounds:   map[*round]int64{},
+		progress: newProgress(),
 		random:   random,
 	}
 	meter.pending.Store(newRound())
@@ -216,7 +219,7 @@
 }
 
 func (meter *Meter) final(window Window, tally *tally) Batch {
-	batch := meter.batch(window, tally.lines(), time.Now().UnixMilli())
+	batch := meter.batch(window, tally.lines(), 0)
 	batch.Final = true
 	return batch
 }
--- a/internal/coordination/usage/report.go
+++ b/internal/coordination/usage/report.go
@@ -20,8 +20,11 @@
 	if err != nil {
 		return err
 	}
-	if err := freezer.send(ctx, report); err != nil {
-		return err
+	if freezer.taken != window {
+		if err := freezer.send(ctx, report); err != nil {
+			return err
+		}
+		freezer.taken = window
 	}
 	return freezer.closeTicket(ctx, report, version, before, headVersion)
 }
@@ -47,11 +50,12 @@
 	if found.Writer == freezer.writer {
 		return version, nil
 	}
-	if version > 0 {
+	if version > 0 && found.Writer != "" {
 		if err := freezer.mayTakeOver(ctx, found, report); err != nil {
 			return 0, err
 		}
 	}
+	freezer.opened = report.Window
 	mine := ticket{Writer: freezer.writer, Number: report.Number, Hash: report.Hash, Open: true}
 	write, err := encode(key, version, mine)
 	if err != nil {
@@ -91,6 +95,44 @@
 	return nil
 }
 
+// leave ends the ticket that this Freezer may have left open when it lost the
+// duty. None of its reports is on its way then.
+func (freezer *Freezer) leave(ctx context.Context) {
+	if freezer.opened == 0 {
+		return
+	}
+	if err := freezer.leaveTicket(ctx); err != nil {
+		freezer.settings.logger.Warn().Err(err).Msg("cannot end a ticket")
+		return
+	}
+	freezer.opened = 0
+}
+
+// leaveTicket closes the ticket of a report that the platform took, and gives
+// up that of another one, so that a successor may take it over.
+func (freezer *Freezer) leaveTicket(ctx context.Context) error {
+	key := ticketKey(freezer.opened)
+	found, version, err := freezer.readTicket(ctx, key)
+	if err != nil || found.Writer != freezer.writer || !found.Open {
+		return err
+	}
+	if freezer.taken == freezer.opened {
+		var before head
+		headVersion, err := freezer.read(ctx, headKey, &before)
+		if err != nil {
+			return err
+		}
+		report := Report{Number: found.Number, Window: freezer.opened, Hash: found.Hash}
+		return freezer.closeTicket(ctx, report, version, before, headVersion)
+	}
+	found.Writer = ""
+	write, err := encode(key, version, found)
+	if err != nil {
+		return err
+	}
+	return freezer.store.Commit(ctx, write)
+}
+
 func (freezer *Freezer) send(ctx context.Context, report Report) error {
 	if !freezer.duty.Held() {
 		return code.Errorf(code.LeaseLost, "the duty of reporting was lost")
@@ -117,6 +159,7 @@
 	if err := freezer.store.Commit(ctx, ticket, next); err != nil {
 		return err
 	}
+	freezer.opened = 0
 	freezer.metrics.reported.Inc()
 	freezer.prune(ctx, after)
 	return nil
--- a/internal/coordination/usage/row.go
+++ b/internal/coordination/usage/row.go
@@ -41,7 +41,7 @@
 
 // ticket is the row that says that a report may be on its way.
 type ticket struct {
-	Writer string `json:"writer"`
+	Writer string `json:"writer"` // empty once its writer has given it up
 	Number uint64 `json:"number"`
 	Hash   string `json:"hash"`
 	Open   bool   `json:"open"`
--- a/internal/coordination/usage/usage.go
+++ b/internal/coordination/usage/usage.go
@@ -67,9 +67,20 @@
 	Origin
 	Window   Window `json:"window"`
 	Sequence uint64 `json:"sequence"` // increases with each batch of the origin
-	AtMS     int64  `json:"at-ms"`    // wall clock of the origin up to which its counts are in this or an earlier batch
 	Final    bool   `json:"final"`    // the origin adds nothing more up to this window
-	Lines    []Line `json:"lines,omitempty"`
+	// AtMS is the wall clock of the origin up to which the replica Holder has all
+	// its counts once it has this batch. It says nothing of other replicas.
+	AtMS   int64  `json:"at-ms"`
+	Holder string `json:"holder,omitempty"`
+	Lines  []Line `json:"lines,omitempty"`
+}
+
+// heldBy returns the batch as the replica name keeps it.
+func (batch Batch) heldBy(name string) Batch {
+	if batch.Holder != name {
+		batch.AtMS = 0
+	}
+	return batch
 }
 
 // Settled tells that the windows of an origin up to Through are frozen with its
