Hold capacity after a change of the duty, and type the bench setup

A planner that has seen less than its hold time drains nothing, so that a successor keeps what it finds; without that line TestNewPlannerHoldsWhatItFinds is red.

--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -203,3 +203,19 @@
 		}
 	}
 }
+
+func TestNewPlannerHoldsWhatItFinds(t *testing.T) {
+	planner := fleet.New()
+	dataCenter := fleet.DataCenter{Name: "dc", Demand: []fleet.Demand{{Pool: "model", Load: 1}}}
+	for index := range 6 {
+		dataCenter.Targets = append(dataCenter.Targets, fleet.Target{ID: fmt.Sprint(index), Pool: "model", Phase: fleet.Serving})
+	}
+	drains := 0
+	for minute := range 12 {
+		now := time.Unix(0, 0).Add(time.Duration(minute) * time.Minute)
+		drains += len(planner.Decide(now, fleet.State{DataCenters: []fleet.DataCenter{dataCenter}}))
+		if (minute < 10) != (drains == 0) {
+			t.Fatalf("%d drains after %d minutes", drains, minute)
+		}
+	}
+}
--- a/internal/coordination/fleet/planner.go
+++ b/internal/coordination/fleet/planner.go
@@ -15,6 +15,7 @@
 	forecasts map[key]*forecast
 	pinned    map[key]*forecast
 	peaks     map[key]*peak
+	began     map[key]time.Time // when the first load was observed
 	cheap     map[string]*cheapState
 }
 
@@ -25,6 +26,7 @@
 		forecasts: map[key]*forecast{},
 		pinned:    map[key]*forecast{},
 		peaks:     map[key]*peak{},
+		began:     map[key]time.Time{},
 		cheap:     map[string]*cheapState{},
 	}
 	for _, opt := range opts {
@@ -55,7 +57,9 @@
 		need := planner.need(key{dataCenter.Name, pool})
 		bound := planner.cheapBound(need, spare[key{dataCenter.Name, pool}], cheap.paused(now))
 		site.grow(pool, need, bound)
-		site.shrink(pool, need, bound)
+		if planner.knows(now, key{dataCenter.Name, pool}) {
+			site.shrink(pool, need, bound)
+		}
 	}
 	if len(pools) > 0 {
 		site.fill(pools[0])
@@ -99,12 +103,19 @@
 		planner.forecasts[key] = newForecast(now, demand.Load)
 		planner.pinned[key] = newForecast(now, demand.Pinned)
 		planner.peaks[key] = &peak{}
+		planner.began[key] = now
 	}
 	planner.forecasts[key].observe(now, demand.Load)
 	planner.pinned[key].observe(now, demand.Pinned)
 	planner.peaks[key].add(now, planner.forecasts[key].at(planner.settings.startTime), planner.settings.holdTime)
 }
 
+// knows reports whether the peak of a pool covers the hold time, which it does
+// not after the duty has passed to another instance.
+func (planner *Planner) knows(now time.Time, key key) bool {
+	return now.Sub(planner.began[key]) >= planner.settings.holdTime
+}
+
 func (planner *Planner) need(key key) need {
 	ahead := planner.settings.startTime
 	return planner.settings.needs(planner.forecasts[key].at(ahead), planner.pinned[key].at(ahead), planner.peaks[key].value())
--- a/internal/transport/bench/bench.go
+++ b/internal/transport/bench/bench.go
@@ -29,20 +29,50 @@
 }
 
 // Setup states what a lab starts for a variant. Zero values stand for the
-// lab's defaults.
+// lab's defaults, which are the system's own policies.
 type Setup struct {
 	Entries   int // entry instances
 	Engines   int
-	Routing   string // policy that chooses targets
-	Admission string // policy that orders teams
-	Retries   string // policy that repeats requests
+	Routing   Routing
+	Admission Admission
+	Retries   Retries
 }
 
+// Routing is a policy that chooses targets, in place of the system's own.
+type Routing string
+
+// Baselines of routing.
+const (
+	RoundRobin       Routing = "round-robin"
+	Random           Routing = "random"
+	LeastOutstanding Routing = "least-outstanding"
+)
+
+// Admission is a policy that orders the requests of teams, in place of the
+// system's own.
+type Admission string
+
+// Baselines of admission.
+const (
+	FirstComeFirstServed Admission = "first-come"
+	TokenBucket          Admission = "token-bucket"
+)
+
+// Retries is a policy that repeats failed requests, in place of the system's
+// own.
+type Retries string
+
+// Baselines of retries.
+const (
+	UnboundedRetries Retries = "unbounded"
+	NoRetries        Retries = "none"
+)
+
 // Fault is a fault that a lab injects during a run.
 type Fault struct {
 	At     time.Duration // from the start of the load
 	Kind   FaultKind
-	Target string        // number of an engine or entry instance, from 0
+	Target int           // index of the engine or entry instance
 	For    time.Duration // after which it ends; 0 for never
 }
 
--- a/internal/transport/bench/fleetmodel.go
+++ b/internal/transport/bench/fleetmodel.go
@@ -49,7 +49,7 @@
 	faults  bool // cheap targets are reclaimed and not supplied for a while
 	surge   bool // the load jumps once
 	targets []*modelTarget
-	ordered int
+	named   int // targets so far
 	weather float64
 	result  fleetResult
 }
@@ -72,6 +72,7 @@
 	calls     int
 	cutCalls  int
 	lostCalls int // refused, as no target of the service serves
+	ordered   int
 	reclaimed int
 }
 
@@ -229,6 +230,7 @@
 func (model *fleetModel) carryOut(order fleet.Order) {
 	switch order.Action {
 	case fleet.Start:
+		model.result.ordered++
 		target := model.add(order)
 		model.after(fleetStart, func() {
 			if target.Phase == fleet.Starting {
@@ -244,9 +246,9 @@
 }
 
 func (model *fleetModel) add(order fleet.Order) *modelTarget {
-	model.ordered++
+	model.named++
 	target := &modelTarget{dataCenter: order.DataCenter}
-	target.ID = fmt.Sprintf("target-%d", model.ordered)
+	target.ID = fmt.Sprintf("target-%d", model.named)
 	target.Pool, target.Cheap = order.Pool, order.Cheap
 	model.targets = append(model.targets, target)
 	return target
--- a/internal/transport/bench/output.go
+++ b/internal/transport/bench/output.go
@@ -106,6 +106,7 @@
 func (result Result) drawLines(drawing *plot.Plot) error {
 	drawing.X.Label.Text = "seconds"
 	drawing.Y.Label.Text = "goodput"
+	drawing.Y.Min, drawing.Y.Max = 0, 1
 	for index, row := range result.Rows {
 		points := make(plotter.XYs, len(row.Timeline))
 		for at, point := range row.Timeline {
--- a/internal/transport/bench/policies.go
+++ b/internal/transport/bench/policies.go
@@ -90,6 +90,7 @@
 		{"on cheap targets", "%", 100 * result.cheap / result.served},
 		{"cut calls", "", float64(result.cutCalls)},
 		{"refused calls", "", float64(result.lostCalls)},
+		{"ordered", "targets", float64(result.ordered)},
 		{"reclaimed", "targets", float64(result.reclaimed)},
 	}}
 }
--- a/internal/transport/bench/report.go
+++ b/internal/transport/bench/report.go
@@ -109,7 +109,7 @@
 			{"unsent", "%", share(report.Unsent)},
 			{"first byte p50", "ms", milliseconds(firstByte.Quantile(0.5))},
 			{"first byte p99", "ms", milliseconds(firstByte.Quantile(0.99))},
-			{"worst team's first byte p99", "ms", milliseconds(report.worstFirstByte())},
+			{"worst team first byte p99", "ms", milliseconds(report.worstFirstByte())},
 			{"between p99", "ms", milliseconds(report.Between.Quantile(0.99))},
 			{"whole p99", "ms", milliseconds(report.Whole.Quantile(0.99))},
 		},
--- a/internal/transport/bench/scenarios.go
+++ b/internal/transport/bench/scenarios.go
@@ -92,9 +92,9 @@
 		Name:        "routing",
 		Description: "Choice of targets under a load with 16 shared prompt beginnings.",
 	}
-	for _, routing := range []string{"", "round-robin", "random", "least-outstanding"} {
+	for _, routing := range []Routing{"", RoundRobin, Random, LeastOutstanding} {
 		scenario.Variants = append(scenario.Variants, Variant{
-			Name: cmp.Or(routing, "prefix"), Baseline: routing != "",
+			Name: cmp.Or(string(routing), "prefix"), Baseline: routing != "",
 			Setup: Setup{Routing: routing}, Workload: workloadAt(60, 30, 30),
 		})
 	}
@@ -109,9 +109,9 @@
 		Name:        "flood",
 		Description: "One of three teams sends six times its load for 10 s.",
 	}
-	for _, admission := range []string{"", "fifo", "token-bucket"} {
+	for _, admission := range []Admission{"", FirstComeFirstServed, TokenBucket} {
 		scenario.Variants = append(scenario.Variants, Variant{
-			Name: cmp.Or(admission, "fair"), Baseline: admission != "",
+			Name: cmp.Or(string(admission), "fair"), Baseline: admission != "",
 			Setup: Setup{Admission: admission}, Workload: workload,
 		})
 	}
@@ -120,16 +120,16 @@
 
 func engineLossScenario() Scenario {
 	faults := []Fault{
-		{At: 6 * time.Second, Kind: EngineCrash, Target: "0", For: 6 * time.Second},
-		{At: 6 * time.Second, Kind: EngineCrash, Target: "1", For: 6 * time.Second},
+		{At: 6 * time.Second, Kind: EngineCrash, Target: 0, For: 6 * time.Second},
+		{At: 6 * time.Second, Kind: EngineCrash, Target: 1, For: 6 * time.Second},
 	}
 	scenario := Scenario{
 		Name:        "engine-loss",
 		Description: "Two of six engines crash at once and return after 6 s.",
 	}
-	for _, retries := range []string{"", "unbounded", "none"} {
+	for _, retries := range []Retries{"", UnboundedRetries, NoRetries} {
 		scenario.Variants = append(scenario.Variants, Variant{
-			Name: cmp.Or(retries, "budget"), Baseline: retries != "",
+			Name: cmp.Or(string(retries), "budget"), Baseline: retries != "",
 			Setup: Setup{Engines: 6, Retries: retries}, Workload: workloadAt(60, 30, 30), Faults: faults,
 		})
 	}
