Take targets that the platform takes back as leaving

A reclaim with notice pauses orders of cheap targets at once, and a leaving target is neither drained nor released.

--- a/internal/coordination/fleet/backoff.go
+++ b/internal/coordination/fleet/backoff.go
@@ -11,13 +11,13 @@
 }
 
 // watch takes in the targets of a state and pauses orders of cheap targets
-// when one is gone without a drain.
+// when one leaves, or is gone, without a drain.
 func (cheap *cheapState) watch(now time.Time, targets []Target, settings settings) {
 	known := map[string]bool{}
 	present := map[string]bool{}
 	for _, target := range targets {
-		present[target.ID] = true
-		if target.Cheap && target.Phase != Draining {
+		present[target.ID] = target.Phase != Leaving
+		if target.Cheap && target.stays() {
 			known[target.ID] = true
 		}
 	}
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -22,6 +22,8 @@
 	Serving
 	// Draining is a target that gets no new work.
 	Draining
+	// Leaving is a target that the platform takes back by itself.
+	Leaving
 )
 
 // Target is one paid target.
@@ -33,6 +35,8 @@
 	InFlight int // requests that the target holds
 }
 
+func (target Target) stays() bool { return target.Phase == Starting || target.Phase == Serving }
+
 // Demand is the work that a pool has in a data centre, in targets: 1 keeps one
 // target fully busy.
 type Demand struct {
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -48,9 +48,12 @@
 	reclaim := rapid.IntRange(0, 9).Draw(t, "reclaim") == 0
 	var kept []fleet.Target
 	for _, target := range world.Targets {
-		if target.Cheap && reclaim {
+		if target.Phase == fleet.Leaving {
 			continue
 		}
+		if target.Cheap && reclaim {
+			target.Phase = fleet.Leaving
+		}
 		if target.Phase == fleet.Starting && (target.Cheap || rapid.IntRange(0, 3).Draw(t, "started") == 0) {
 			target.Phase = fleet.Serving
 		}
@@ -71,8 +74,11 @@
 		world.start(t, order)
 	case fleet.Drain:
 		index := world.index(order)
+		if world.Targets[index].Phase >= fleet.Draining {
+			t.Fatalf("drained %+v", world.Targets[index])
+		}
 		world.Targets[index].Phase = fleet.Draining
-		if staying := world.count(func(target fleet.Target) bool { return target.Phase != fleet.Draining }); staying < world.MinTargets {
+		if staying := world.count(func(target fleet.Target) bool { return target.Phase < fleet.Draining }); staying < world.MinTargets {
 			t.Fatalf("%d targets stay after %+v", staying, order)
 		}
 		if !order.Cheap && world.serving(order.Pool) == 0 {
@@ -188,16 +194,23 @@
 }
 
 func TestReclaimPausesCheapOrders(t *testing.T) {
+	leaving := fleet.Target{ID: "b", Pool: "model", Phase: fleet.Leaving, Cheap: true}
+	for name, left := range map[string][]fleet.Target{"with notice": {leaving}, "without": nil} {
+		t.Run(name, func(t *testing.T) { checkReclaim(t, left) })
+	}
+}
+
+func checkReclaim(t *testing.T, left []fleet.Target) {
 	planner := fleet.New()
 	target := fleet.Target{ID: "a", Pool: "model", Phase: fleet.Serving}
 	reclaimed := fleet.Target{ID: "b", Pool: "model", Phase: fleet.Serving, Cheap: true}
-	for second, targets := range [][]fleet.Target{{target, reclaimed}, {target}} {
+	for second, targets := range [][]fleet.Target{{target, reclaimed}, append(left, target)} {
 		state := fleet.State{DataCenters: []fleet.DataCenter{{
 			Name: "dc", OnDemand: 99, Cheap: 99, Targets: targets,
 			Demand: []fleet.Demand{{Pool: "model", Load: 7}},
 		}}}
 		for _, order := range planner.Decide(time.Unix(int64(second), 0), state) {
-			if second == 1 && order.Cheap {
+			if second == 1 && (order.Cheap || order.Target == reclaimed.ID) {
 				t.Fatalf("got %+v right after a reclaim", order)
 			}
 		}
--- a/internal/coordination/fleet/need.go
+++ b/internal/coordination/fleet/need.go
@@ -38,7 +38,7 @@
 func tallyOf(targets []Target, pool Pool) tally {
 	var tally tally
 	for _, target := range targets {
-		if target.Pool != pool || target.Phase == Draining {
+		if target.Pool != pool || !target.stays() {
 			continue
 		}
 		tally.add(target)
--- a/internal/coordination/fleet/site.go
+++ b/internal/coordination/fleet/site.go
@@ -14,7 +14,7 @@
 func newSite(dataCenter DataCenter) *site {
 	site := &site{dataCenter: dataCenter, paid: len(dataCenter.Targets)}
 	for _, target := range dataCenter.Targets {
-		if target.Phase != Draining {
+		if target.stays() {
 			site.staying++
 		}
 	}
@@ -75,7 +75,7 @@
 // clear drains the targets of pools other than those listed.
 func (site *site) clear(pools []Pool) {
 	for _, target := range site.dataCenter.Targets {
-		if target.Phase != Draining && !slices.Contains(pools, target.Pool) {
+		if target.stays() && !slices.Contains(pools, target.Pool) {
 			site.give(Drain, target)
 			site.staying--
 		}
@@ -86,7 +86,7 @@
 func (site *site) drain(pool Pool, cheap bool) {
 	var candidates []Target
 	for _, target := range site.dataCenter.Targets {
-		if target.Pool == pool && target.Cheap == cheap && target.Phase != Draining {
+		if target.Pool == pool && target.Cheap == cheap && target.stays() {
 			candidates = append(candidates, target)
 		}
 	}
--- a/internal/transport/bench/fleetmodel.go
+++ b/internal/transport/bench/fleetmodel.go
@@ -23,6 +23,7 @@
 	serviceLoadMean  = 1.2   // targets
 	loadNoise        = 0.05  // of the load, in each tick
 	weatherNoise     = 0.003 // of the load, added up over ticks
+	reclaimNotice    = 10 * time.Second
 	surgeFrom        = 40 * time.Minute
 	surgeUntil       = 60 * time.Minute
 	surgeFactor      = 1.5
@@ -260,17 +261,21 @@
 
 // remove takes a target away, and counts the calls that it cuts.
 func (model *fleetModel) remove(target *modelTarget) {
+	if !slices.Contains(model.targets, target) {
+		return
+	}
 	target.holds(model.now)
 	model.result.cutCalls += len(target.calls)
 	model.targets = slices.DeleteFunc(model.targets, func(other *modelTarget) bool { return other == target })
 }
 
-// reclaim takes all cheap targets of a data centre away.
+// reclaim takes all cheap targets of a data centre away after a notice.
 func (model *fleetModel) reclaim(dataCenter string) {
-	for _, target := range slices.Clone(model.targets) {
+	for _, target := range model.targets {
 		if target.Cheap && target.dataCenter == dataCenter {
 			model.result.reclaimed++
-			model.remove(target)
+			target.Phase = fleet.Leaving
+			model.after(reclaimNotice, func() { model.remove(target) })
 		}
 	}
 }
