--- a/internal/coordination/roles/decider.go
+++ b/internal/coordination/roles/decider.go
@@ -6,16 +6,18 @@
 	"mangopier.example/mangopier/internal/protocol/note"
 )
 
-// leastGain is the share of a second's answers that a change has to win over
-// the horizon in any case.
+// leastGain is what a change has to win in any case, in seconds of answers.
 const leastGain = 1.5
 
-// changeRoles lists the roles that an engine may change between.
+// changeRoles lists the roles that an engine may change from.
 var changeRoles = []note.Role{note.RolePrefill, note.RoleDecode, note.RoleMixed}
 
 // Decider changes roles when what a change wins over the expected persistence
 // of the mix exceeds what it loses while the engine is gone. It is not safe
 // for concurrent use.
+//
+// Engines change to prefill or decode; one becomes mixed only as the last that
+// takes work. A group whose engines are all mixed stays so.
 type Decider struct {
 	settings  settings
 	estimates map[group]*estimate
@@ -48,7 +50,7 @@
 }
 
 // Decide returns the change with the largest gain in the first group that has
-// one worth its loss.
+// one worth its loss, or one that restores a phase which no engine takes.
 func (decider *Decider) Decide(now time.Time, engines []EngineState) (Change, bool) {
 	order, members := groups(engines)
 	for _, key := range order {
@@ -71,7 +73,7 @@
 		return Change{}, false
 	}
 	known, observed := decider.estimates[key]
-	if !observed || !known.warm(decider.settings.fastTime) {
+	if !observed || !known.usable(now, decider.settings.fastTime) {
 		return Change{}, false
 	}
 	return decider.outlook(now, known, fleet).best(key, fleet)
--- a/internal/coordination/roles/estimate.go
+++ b/internal/coordination/roles/estimate.go
@@ -94,9 +94,10 @@
 	estimate.follow(now, math.Sqrt(estimate.variance*fastWeight/(2-fastWeight)))
 }
 
-// warm reports whether the averages have seen enough to decide by.
-func (estimate *estimate) warm(fast time.Duration) bool {
-	return estimate.observed.Sub(estimate.began) >= 2*fast
+// usable reports whether the averages have seen enough to decide by, and
+// whether the last window is recent.
+func (estimate *estimate) usable(now time.Time, fast time.Duration) bool {
+	return estimate.observed.Sub(estimate.began) >= 2*fast && now.Sub(estimate.observed) <= fast
 }
 
 // follow ends the run in progress when the fast average crosses the slow one,
--- a/internal/coordination/roles/roles_test.go
+++ b/internal/coordination/roles/roles_test.go
@@ -115,6 +115,22 @@
 	}
 }
 
+func TestOldWindowsAreNotFollowed(t *testing.T) {
+	for age, want := range map[time.Duration]bool{time.Second: true, time.Minute: false} {
+		decider := roles.New()
+		for second := range 60 {
+			decider.Observe(time.Unix(int64(second), 0), roles.Demand{PrefillTPS: 8000, DecodeTPS: 4 * 1200})
+		}
+		engines := []roles.EngineState{}
+		for index, role := range []note.Role{note.RolePrefill, note.RolePrefill, note.RolePrefill, note.RoleDecode, note.RoleDecode, note.RoleDecode} {
+			engines = append(engines, roles.EngineState{ID: fmt.Sprint(index), Role: role, PrefillTPS: 8000, DecodeTPS: 1200})
+		}
+		if change, ok := decider.Decide(time.Unix(59, 0).Add(age), engines); ok != want {
+			t.Errorf("%v after the last window: %+v, %v", age, change, ok)
+		}
+	}
+}
+
 func TestLostPhaseIsRestored(t *testing.T) {
 	cases := []struct {
 		name string
--- a/internal/transport/bench/bench.go
+++ b/internal/transport/bench/bench.go
@@ -68,7 +68,7 @@
 	NoRetries        Retries = "none"
 )
 
-// Fault is a fault that a lab injects during a run.
+// Fault is a fault that a lab injects during a run, and ends by itself.
 type Fault struct {
 	At     time.Duration // from the start of the load
 	Kind   FaultKind
