Count instances towards a majority only once they are admitted

An instance that starts anew among peers that missed a note made a majority of four of seven with three that had refused, and all four served the old note. It now counts only with proof from after its start or a majority without it.

--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -57,7 +57,7 @@
 // New returns a feed that has nothing in force yet.
 func New(store Store, opts ...Option) *Feed {
 	feed := &Feed{
-		store:  store,
+		store:  timed{Store: store},
 		peers:  nobody{},
 		log:    zerolog.Nop(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/coordination/feed/poll.go
+++ b/internal/coordination/feed/poll.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	storeTimeout      = 2 * time.Second
+	storeTimeout      = 5 * time.Second
 	startSpread       = time.Second
 	pollCheckInterval = 200 * time.Millisecond
 	pollMinInterval   = time.Second
@@ -79,8 +79,6 @@
 
 // refresh reads the head row and brings its note in force.
 func (feed *Feed) refresh(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
 	readAt := time.Now()
 	head, _, err := readHead(ctx, feed.store)
 	if err != nil {
--- a/internal/coordination/feed/store.go
+++ b/internal/coordination/feed/store.go
@@ -17,6 +17,23 @@
 	Fetch(ctx context.Context, key string) ([]byte, error)
 }
 
+// timed bounds the time of each read, with the store's silence in mind.
+type timed struct {
+	Store
+}
+
+func (timed timed) Get(ctx context.Context, key string) (table.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return timed.Store.Get(ctx, key)
+}
+
+func (timed timed) Fetch(ctx context.Context, key string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return timed.Store.Fetch(ctx, key)
+}
+
 // readHead returns the newest head and the version of its row, both zero
 // before the first note.
 func readHead(ctx context.Context, store Store) (Head, uint64, error) {
--- a/internal/coordination/gossip/exchange.go
+++ b/internal/coordination/gossip/exchange.go
@@ -63,7 +63,9 @@
 	if reply.GetSender() != outcome.peer.ID {
 		members.weighAnswer(outcome.peer.ID, answer{at: outcome.sentAt})
 	}
-	members.weighAnswer(reply.GetSender(), answer{at: outcome.sentAt, ok: true, number: reply.GetNumber()})
+	members.weighAnswer(reply.GetSender(), answer{
+		at: outcome.sentAt, ok: true, admitted: reply.GetAdmitted(), number: reply.GetNumber(),
+	})
 }
 
 // merge takes what a checked message says.
--- a/internal/coordination/gossip/gossip.go
+++ b/internal/coordination/gossip/gossip.go
@@ -59,6 +59,7 @@
 	notes     Notes
 	log       zerolog.Logger
 	metrics   *metrics
+	startedAt time.Time
 
 	mu       sync.Mutex // guards the fields up to the next blank line
 	random   *rand.Rand
@@ -72,6 +73,7 @@
 	answers  map[string]answer
 	rotation []Instance
 	tried    map[string]time.Time
+	admitted bool // see Majority
 	told     uint64 // number of the note in the latest state
 
 	leaving   atomic.Bool
@@ -91,6 +93,7 @@
 		notes:     noNotes{},
 		log:       zerolog.Nop(),
 		metrics:   newMetrics(),
+		startedAt: time.Now(),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		origins:   map[string]*origin{},
 		suspects:  map[string]*suspect{},
--- a/internal/coordination/gossip/majority.go
+++ b/internal/coordination/gossip/majority.go
@@ -12,9 +12,10 @@
 
 // answer tells how the latest exchange with an instance ended.
 type answer struct {
-	at     time.Time // when the request was sent
-	ok     bool
-	number uint64
+	at       time.Time // when the request was sent
+	ok       bool
+	admitted bool // the instance counts towards a majority
+	number   uint64
 }
 
 // evidence is what the answers of late show. It is never changed.
@@ -29,6 +30,11 @@
 // within the last seconds and none of them had a number above number. In a
 // fleet of more than sampleMax, more than half of those asked must have
 // answered, and more than half of the fleet must have live heartbeats.
+//
+// An instance that has started anew has forgotten what it knew. It counts only
+// from when it is admitted: when it has proof of a note from after its start,
+// or a majority without it. So a note that more than half of the instances
+// knew is not forgotten while they are started anew one after another.
 func (members *Members) Majority(number uint64) bool {
 	evidence := members.evidence.Load()
 	if evidence.highest > number {
@@ -68,12 +74,18 @@
 			delete(members.answers, id)
 		case answer.ok:
 			next.highest = max(next.highest, answer.number)
+			if !answer.admitted {
+				continue
+			}
 			times = append(times, answer.at)
 		default:
 			failed++
 		}
 	}
 	needed := min(live, sampleMax) / 2
+	if !members.admit() {
+		needed++
+	}
 	if live > sampleMax {
 		needed = max(needed, failed+1)
 	}
@@ -83,3 +95,13 @@
 	}
 	members.evidence.Store(next)
 }
+
+// admit reports whether this instance counts towards a majority. It needs mu.
+func (members *Members) admit() bool {
+	if members.admitted {
+		return true
+	}
+	number := members.notes.Number()
+	members.admitted = members.notes.Fresh().After(members.startedAt) || number > 0 && members.Majority(number)
+	return members.admitted
+}
--- a/internal/coordination/gossip/message.go
+++ b/internal/coordination/gossip/message.go
@@ -18,6 +18,7 @@
 		Sender:    members.self.ID,
 		Number:    members.notes.Number(),
 		StoreDown: members.notes.StoreDown(),
+		Admitted:  members.admit(),
 	}
 	members.addProof(state)
 	members.addOwn(state)
