--- a/internal/coordination/feed/install.go
+++ b/internal/coordination/feed/install.go
@@ -23,6 +23,19 @@
 	noteBytes []byte // empty if the catalog came whole
 }
 
+// forks reports that head is another one than release's under its number, or
+// follows another one.
+func (release *release) forks(head Head) bool {
+	switch head.Number {
+	case release.head.Number:
+		return head != release.head
+	case release.head.Number + 1:
+		return head.ParentHash != release.head.NoteHash
+	default:
+		return false
+	}
+}
+
 // installNote puts the note of head in force, which must follow the one in
 // force, unless its number is not above that.
 func (feed *Feed) installNote(head Head, noteBytes []byte) error {
@@ -69,9 +82,13 @@
 	}
 	feed.installMu.Lock()
 	defer feed.installMu.Unlock()
-	if head.Number <= feed.Number() {
+	current := feed.inForce.Load()
+	if current != nil && head.Number <= current.head.Number {
 		return nil
 	}
+	if current != nil && current.forks(head) {
+		return malformed("head %d does not follow the note in force, %d", head.Number, current.head.Number)
+	}
 	return feed.install(head, noteBytes, catalog, catalogBytes)
 }
 
--- a/internal/coordination/feed/poll.go
+++ b/internal/coordination/feed/poll.go
@@ -91,10 +91,13 @@
 		feed.refuse("reverted", err)
 		return err
 	}
+	if err := feed.checkFork(head); err != nil {
+		return err
+	}
 	feed.prove(head.Number, readAt)
 	feed.contradict(head.Number, readAt)
 	if head.Number == number {
-		return feed.checkFork(head)
+		return nil
 	}
 	err = feed.catchUp(ctx, head)
 	if err != nil {
@@ -104,13 +107,14 @@
 	return err
 }
 
-// checkFork refuses another note under the number in force.
+// checkFork refuses another note under the number in force, or one that
+// follows another.
 func (feed *Feed) checkFork(head Head) error {
 	current := feed.inForce.Load()
-	if current == nil || current.head.Number != head.Number || current.head == head {
+	if current == nil || !current.forks(head) {
 		return nil
 	}
-	err := malformed("store has another note under number %d", head.Number)
+	err := malformed("head %d does not agree with the note in force, %d", head.Number, current.head.Number)
 	feed.refuse("forked", err)
 	return err
 }
--- a/internal/coordination/gossip/gossip.go
+++ b/internal/coordination/gossip/gossip.go
@@ -73,7 +73,7 @@
 	answers  map[string]answer
 	rotation []Instance
 	tried    map[string]time.Time
-	admitted bool // see Majority
+	admitted bool   // see Majority
 	told     uint64 // number of the note in the latest state
 
 	leaving   atomic.Bool
