--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -77,6 +78,7 @@
 
 	cancel  context.CancelFunc
 	running []part
+	ending  sync.Once
 }
 
 // part is a goroutine of the instance and the channel of its end.
@@ -174,6 +176,10 @@
 }
 
 func (instance *Instance) end() {
+	instance.ending.Do(instance.endParts)
+}
+
+func (instance *Instance) endParts() {
 	instance.cancel()
 	for _, part := range instance.running {
 		if err := <-part.ended; err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/transport/fakes/engine.go
+++ b/internal/transport/fakes/engine.go
@@ -224,3 +224,8 @@
 func answerID(hash uint64) string {
 	return "chatcmpl-" + strconv.FormatUint(hash, 16)
 }
+
+// Running returns how many answers run now.
+func (fake *Engine) Running() int {
+	return fake.slots.running()
+}
