Let the stop test wait until all its streams have arrived

Under load some of the 200 callers had not connected yet when the listener closed, and 400 ms without a byte counted as silence. In production the drain grace keeps the listener open while the balancer turns away.

--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -135,6 +135,11 @@
 	return instance.inner.Address()
 }
 
+// Active returns the number of callers' requests that are being handled.
+func (instance *Instance) Active() int64 {
+	return instance.callers.Active()
+}
+
 // Ready reports why the instance may not serve keyed work now.
 func (instance *Instance) Ready() error {
 	return instance.relay.Ready()
