Take a target's refusal as not run, also when it came as an answer

The relay reports a refusal as an answered attempt. It was then told to the caller as run, and not tried elsewhere for calls that may run once only.

Removed and seen red: the check that no part of the answer was delivered.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -18,7 +18,7 @@
 const (
 	NotSent    State = iota // no byte of the request can have reached the target
 	MayHaveRun              // the request was sent, at least in part
-	Ran                     // the target answered, at least in part
+	Ran                     // the target answered, at least in part; a refusal is told by Refused
 )
 
 // Attempt describes an attempt that failed.
@@ -56,7 +56,7 @@
 // run returns what may be said of the request's run.
 func (attempt *Attempt) run() code.Run {
 	switch {
-	case attempt.State == NotSent, attempt.Refused && attempt.State != Ran:
+	case attempt.State == NotSent, attempt.refused():
 		return code.NotRun
 	case attempt.State == Ran:
 		return code.Ran
@@ -65,6 +65,12 @@
 	}
 }
 
+// refused reports whether the target's statement that it did not run the
+// request can be true.
+func (attempt *Attempt) refused() bool {
+	return attempt.Refused && !attempt.Delivered
+}
+
 // movable returns how the request may go on elsewhere, or Answer if it may
 // not.
 func (attempt *Attempt) movable() Action {
@@ -97,7 +103,7 @@
 	switch {
 	case attempt.CallerGone:
 		return code.CallerGone
-	case attempt.Refused && attempt.State != Ran:
+	case attempt.refused():
 		return code.TargetRefused
 	case attempt.State == NotSent:
 		return code.NoTarget
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -26,7 +26,7 @@
 		Expected:   time.Duration(rapid.IntRange(0, 3).Draw(t, "expected")) * time.Second,
 	}
 	attempt.Delivered = attempt.State == retry.Ran && rapid.Bool().Draw(t, "delivered")
-	attempt.Refused = attempt.State == retry.MayHaveRun && rapid.Bool().Draw(t, "refused")
+	attempt.Refused = attempt.State != retry.NotSent && rapid.Bool().Draw(t, "refused")
 	if rapid.Bool().Draw(t, "has deadline") {
 		attempt.Deadline = start.Add(2 * time.Second)
 	}
@@ -43,7 +43,7 @@
 		attempt := drawAttempt(t)
 		policy := retry.New(retry.WithTries(3))
 		decision := policy.DecideAt(start, attempt)
-		notRun := attempt.State == retry.NotSent || attempt.Refused
+		notRun := attempt.State == retry.NotSent || attempt.Refused && !attempt.Delivered
 		elsewhere := decision.Action != retry.Answer
 		switch {
 		case elsewhere && !notRun && !attempt.Repeatable:
@@ -80,6 +80,7 @@
 		{retry.Attempt{State: retry.MayHaveRun, Tries: 9, Repeatable: true, Timeout: true}, code.TargetTimeout, code.RunUnknown},
 		{retry.Attempt{State: retry.MayHaveRun, Tries: 9, Repeatable: true}, code.TargetFailed, code.RunUnknown},
 		{retry.Attempt{State: retry.MayHaveRun, Tries: 9, Refused: true}, code.TargetRefused, code.NotRun},
+		{retry.Attempt{State: retry.Ran, Tries: 9, Refused: true}, code.TargetRefused, code.NotRun},
 		{retry.Attempt{State: retry.Ran, Tries: 1, Delivered: true}, code.AnswerTruncated, code.Ran},
 		{retry.Attempt{State: retry.MayHaveRun, Tries: 1, CallerGone: true}, code.CallerGone, code.RunUnknown},
 	}
