Tell when targets on their way back have new weights

Weights were taken only at an ejection, so an ejected target stayed out until the next one. Observe now asks for them at most four times a second while some target is out or returning.

Removed and seen red: the condition on the time since, and that on the return.

--- a/internal/coordination/health/health_test.go
+++ b/internal/coordination/health/health_test.go
@@ -78,6 +78,29 @@
 	})
 }
 
+// TestObserveTellsOfReturns has one target ejected and others observed: their
+// events say when the weights are to be taken anew, until all are full.
+func TestObserveTellsOfReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(4)
+		observe(tracker, "t0", health.Failure, 0, 3)
+		weight, taken := tracker.Weights()["t0"], 0
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			if tracker.Observe(health.Event{Target: "t1"}) {
+				taken++
+				weight = 1
+				if got, ok := tracker.Weights()["t0"]; ok {
+					weight = got
+				}
+			}
+		}
+		if weight != 1 || taken < 20 || taken > 40 {
+			t.Fatalf("weight %v after %d changes", weight, taken)
+		}
+	})
+}
+
 func TestEjectsForRateAndSlowness(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tracker := newTracker(8)
--- a/internal/coordination/health/option.go
+++ b/internal/coordination/health/option.go
@@ -13,8 +13,9 @@
 	silenceDefault   = 2 * time.Second
 	probeDefault     = time.Second
 	gain             = 0.1
-	observationsMin  = 10  // before rates count
-	weightFirst      = 0.1 // weight at the begin of the return
+	observationsMin  = 10                     // before rates count
+	weightFirst      = 0.1                    // weight at the begin of the return
+	refresh          = 250 * time.Millisecond // between weights while some change
 	slowFloor        = 50 * time.Millisecond
 	nominalTPS       = 8000.0 // prompt tokens per second, to compare unlike prompts
 )
--- a/internal/coordination/health/tracker.go
+++ b/internal/coordination/health/tracker.go
@@ -13,6 +13,9 @@
 	mutex  sync.Mutex
 	states map[string]*state
 	groups map[string][]*state
+
+	taken   time.Time // when the weights were last taken
+	settled time.Time // from which on all targets have their full weight
 }
 
 // state is the health of one target.
@@ -55,7 +58,8 @@
 }
 
 // Observe takes the end of a request at a target. It returns true when the
-// weights changed. Events of unknown targets are ignored.
+// weights are to be taken anew, as one was ejected or some are on their way
+// back. Events of unknown targets are ignored.
 func (tracker *Tracker) Observe(event Event) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
@@ -65,10 +69,10 @@
 	}
 	now := time.Now()
 	state.observe(event)
-	if state.ejected(now) || !tracker.outlier(state) {
-		return false
+	if !state.ejected(now) && tracker.outlier(state) && tracker.eject(state, now) {
+		return true
 	}
-	return tracker.eject(state, now)
+	return tracker.taken.Before(tracker.settled) && now.Sub(tracker.taken) >= refresh
 }
 
 // Weights returns the share of normal traffic that each target may take now,
@@ -77,6 +81,7 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	now := time.Now()
+	tracker.taken = now
 	weights := map[string]float64{}
 	for id, state := range tracker.states {
 		if weight := tracker.weight(state, now); weight < 1 {
@@ -147,6 +152,7 @@
 	length := min(ejectionMax, tracker.config.ejection<<min(state.ejections, 16))
 	state.ejections++
 	state.until = now.Add(length)
+	tracker.settled = latest(tracker.settled, state.until.Add(tracker.config.ramp))
 	state.failures, state.errors, state.slowness, state.observations = 0, 0, 0, 0
 	return true
 }
@@ -173,3 +179,10 @@
 	ramp := float64(back) / float64(tracker.config.ramp)
 	return min(1, weightFirst+(1-weightFirst)*ramp)
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
