--- a/internal/coordination/poison/blame.go
+++ b/internal/coordination/poison/blame.go
@@ -7,6 +7,7 @@
 
 const (
 	crashWindow = 2 * time.Second // within which losses count as one event
+	crashLimit  = 64              // crashes remembered
 	massLosses  = 3               // targets lost in one event that has another cause
 )
 
@@ -111,7 +112,7 @@
 			delete(tracker.suspects, fingerprint)
 		}
 	}
-	kept := tracker.crashes[max(0, len(tracker.crashes)-tracker.config.limit):]
+	kept := tracker.crashes[max(0, len(tracker.crashes)-crashLimit):]
 	for len(kept) > 0 && now.Sub(kept[0].at) >= tracker.config.expiry {
 		kept = kept[1:]
 	}
--- a/internal/coordination/poison/share.go
+++ b/internal/coordination/poison/share.go
@@ -27,7 +27,7 @@
 	return func(config *config) { config.losses = targets }
 }
 
-// WithLimit bounds the suspects and the crashes remembered.
+// WithLimit bounds the suspects remembered.
 func WithLimit(suspects int) Option {
 	return func(config *config) { config.limit = suspects }
 }
