Refuse waiting requests that can't start in time any more

A rate far below the expected one was learnt slowly, and a request at the end of a queue was answered only when its deadline had passed.

--- a/internal/coordination/admit/bench_test.go
+++ b/internal/coordination/admit/bench_test.go
@@ -182,3 +182,26 @@
 		})
 	}
 }
+
+// BenchmarkExchange measures one exchange, during which Admit waits in part.
+func BenchmarkExchange(b *testing.B) {
+	for _, count := range []int{8, 4700} {
+		queue := admit.New(admit.WithCapacity(1e9))
+		demands := make([]admit.Demand, count)
+		for i := range demands {
+			demands[i] = admit.Demand{Team: fmt.Sprint("team", i), Weight: 1, Units: 10}
+			if _, err := queue.Admit(context.Background(), admit.Request{Team: demands[i].Team, Cost: 1}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		peers := make([]admit.Peer, 6)
+		for i := range peers {
+			peers[i] = admit.Peer{Name: fmt.Sprint(i), At: time.Now().Add(time.Hour), Demands: demands}
+		}
+		b.Run(fmt.Sprint("teams=", count), func(b *testing.B) {
+			for range b.N {
+				queue.Exchange(7, peers)
+			}
+		})
+	}
+}
--- a/internal/coordination/admit/fleet_test.go
+++ b/internal/coordination/admit/fleet_test.go
@@ -1,7 +1,6 @@
 package admit_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -70,7 +69,7 @@
 // capacity of the targets makes all work in flight slower.
 type fleet struct {
 	now       time.Time
-	endings   endings
+	endings   []ending // next one first
 	instances []instance
 	running   float64
 }
@@ -94,12 +93,15 @@
 	fleet.running += arrival.cost
 	slowdown := max(1, fleet.running/fleetCapacity)
 	arrival.started = now
-	heap.Push(&fleet.endings, ending{now.Add(time.Duration(slowdown * float64(arrival.length))), arrival})
+	end := ending{now.Add(time.Duration(slowdown * float64(arrival.length))), arrival}
+	place, _ := slices.BinarySearchFunc(fleet.endings, end, func(a, b ending) int { return a.at.Compare(b.at) })
+	fleet.endings = slices.Insert(fleet.endings, place, end)
 }
 
 func (fleet *fleet) advance(to time.Time) {
 	for len(fleet.endings) > 0 && !fleet.endings[0].at.After(to) {
-		ending := heap.Pop(&fleet.endings).(ending)
+		ending := fleet.endings[0]
+		fleet.endings = fleet.endings[1:]
 		fleet.running -= ending.arrival.cost
 		fleet.instances[ending.arrival.entry].finish(ending.at, ending.arrival)
 	}
@@ -158,20 +160,8 @@
 
 func (*bucketed) finish(time.Time, *arrival) {}
 
+// ending is the time at which an arrival's work is done.
 type ending struct {
 	at      time.Time
 	arrival *arrival
 }
-
-type endings []ending
-
-func (endings endings) Len() int           { return len(endings) }
-func (endings endings) Less(i, j int) bool { return endings[i].at.Before(endings[j].at) }
-func (endings endings) Swap(i, j int)      { endings[i], endings[j] = endings[j], endings[i] }
-func (endings *endings) Push(item any)     { *endings = append(*endings, item.(ending)) }
-
-func (endings *endings) Pop() any {
-	last := (*endings)[len(*endings)-1]
-	*endings = (*endings)[:len(*endings)-1]
-	return last
-}
--- a/internal/coordination/admit/option.go
+++ b/internal/coordination/admit/option.go
@@ -9,6 +9,7 @@
 	retryMinSeconds   = 1
 	retryMaxSeconds   = 60
 	teamsSweepMinimum = 64
+	expireMargin      = 2 // factor by which the expected wait may be wrong
 )
 
 type config struct {
--- a/internal/coordination/admit/queue.go
+++ b/internal/coordination/admit/queue.go
@@ -54,14 +54,28 @@
 }
 
 // Exchange divides the fleet's capacity anew among teams and instances, see
-// Scheduler.Exchange. It is to be called about once a second.
+// Scheduler.Exchange. It also refuses waiting requests that can no longer
+// start in time at the measured rate. It is to be called about once a second,
+// by one goroutine.
 func (queue *Queue) Exchange(members int, peers []Peer) {
+	now := time.Now()
+	own, capacity := queue.ownState()
+	agreed := negotiate(now, capacity, members, own, peers)
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	queue.scheduler.Exchange(time.Now(), members, peers)
+	queue.scheduler.apply(agreed)
+	for _, ticket := range queue.scheduler.Expire(now) {
+		queue.answer(ticket)
+	}
 	queue.dispatch()
 }
 
+func (queue *Queue) ownState() ([]Demand, float64) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return queue.scheduler.Demand(), queue.scheduler.config.capacity
+}
+
 // SetCapacity sets the cost units that the whole fleet may have in flight.
 // It takes effect with the next exchange.
 func (queue *Queue) SetCapacity(units float64) {
@@ -128,14 +142,19 @@
 func (queue *Queue) dispatch() {
 	now := time.Now()
 	for ticket := queue.scheduler.Next(now); ticket != nil; ticket = queue.scheduler.Next(now) {
-		answer := queue.waiters[ticket]
-		delete(queue.waiters, ticket)
-		if !ticket.Granted() {
-			answer <- tooShort(&ticket.Request)
-			continue
-		}
+		queue.answer(ticket)
+	}
+}
+
+// answer tells the goroutine that waits with the ticket what became of it.
+func (queue *Queue) answer(ticket *Ticket) {
+	answer := queue.waiters[ticket]
+	delete(queue.waiters, ticket)
+	if ticket.Granted() {
 		answer <- nil
+		return
 	}
+	answer <- tooShort(&ticket.Request)
 }
 
 // expiry returns a channel that is ready when the request's start would be of
--- a/internal/coordination/admit/queue_test.go
+++ b/internal/coordination/admit/queue_test.go
@@ -35,6 +35,41 @@
 	})
 }
 
+// TestExchangeRefusesTheHopeless measures a low rate while ten requests wait:
+// those at the end are refused long before their deadline.
+func TestExchangeRefusesTheHopeless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := admit.New(admit.WithCapacity(1), admit.WithRate(1000))
+		release, begin := mustAdmit(t, queue, admit.Request{Team: "a", Cost: 1}), time.Now()
+		refused := make(chan time.Duration, 10)
+		for range 10 {
+			go func() {
+				release, err := queue.Admit(context.Background(), admit.Request{Team: "a", Cost: 1, Deadline: begin.Add(40 * time.Second)})
+				if code.Is(err, code.DeadlineTooShort) {
+					refused <- time.Since(begin)
+					return
+				}
+				time.Sleep(10 * time.Second)
+				release(1)
+			}()
+		}
+		time.Sleep(10 * time.Second)
+		release(1)
+		for range 20 {
+			time.Sleep(time.Second)
+			queue.Exchange(1, nil)
+		}
+		synctest.Wait()
+		if len(refused) < 2 || <-refused > 30*time.Second {
+			t.Fatalf("%d refused in 30 s", len(refused))
+		}
+		time.Sleep(time.Minute)
+		if running := 10 - len(refused) - 1; running < 3 {
+			t.Fatalf("only %d of 4 could run in time", running)
+		}
+	})
+}
+
 // TestAdmitRefusesByBacklog checks refusals on entry: a wait that the backlog
 // makes too long, and a full queue, whose retry hint is the backlog's time.
 func TestAdmitRefusesByBacklog(t *testing.T) {
--- a/internal/coordination/admit/scheduler.go
+++ b/internal/coordination/admit/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"mangopier.example/mangopier/internal/protocol/code"
@@ -53,7 +54,9 @@
 		scheduler.grant(now, ticket)
 		return ticket, nil
 	}
-	if err := scheduler.refuse(now, team, &request); err != nil {
+	scheduler.sequence++
+	ticket.sequence = scheduler.sequence
+	if err := scheduler.refuse(now, ticket); err != nil {
 		return nil, err
 	}
 	scheduler.wait(ticket)
@@ -93,6 +96,21 @@
 	return true
 }
 
+// Expire takes out and returns the waiting requests that can't start before
+// their deadlines at the measured rate, with a margin for its error.
+func (scheduler *Scheduler) Expire(now time.Time) []*Ticket {
+	var expired []*Ticket
+	for _, team := range scheduler.teams {
+		for _, ticket := range slices.Clone(team.waiting) {
+			wait := scheduler.expectedWait(team, ticket) / expireMargin
+			if ticket.Request.tooLate(now.Add(wait)) && scheduler.Cancel(ticket) {
+				expired = append(expired, ticket)
+			}
+		}
+	}
+	return expired
+}
+
 // Finish ends a granted request. The team is charged what it really cost.
 func (scheduler *Scheduler) Finish(now time.Time, ticket *Ticket, actualCost float64) {
 	if !ticket.granted || ticket.released {
@@ -144,8 +162,6 @@
 
 func (scheduler *Scheduler) wait(ticket *Ticket) {
 	team := ticket.team
-	scheduler.sequence++
-	ticket.sequence = scheduler.sequence
 	team.push(ticket)
 	scheduler.waiting++
 	if team.index < 0 {
@@ -171,8 +187,9 @@
 }
 
 // refuse returns why a request that would have to wait can't be taken in.
-func (scheduler *Scheduler) refuse(now time.Time, team *team, request *Request) error {
-	wait := scheduler.expectedWait(team, request)
+func (scheduler *Scheduler) refuse(now time.Time, ticket *Ticket) error {
+	team, request := ticket.team, &ticket.Request
+	wait := scheduler.expectedWait(team, ticket)
 	if request.tooLate(now.Add(wait)) {
 		return code.WithRetry(tooShort(request), retrySeconds(wait))
 	}
@@ -184,12 +201,12 @@
 	return nil
 }
 
-// expectedWait returns how long the team's backlog takes at its share of the
-// measured rate.
-func (scheduler *Scheduler) expectedWait(team *team, request *Request) time.Duration {
+// expectedWait returns how long what goes before a request of the team takes
+// at the team's share of the measured rate.
+func (scheduler *Scheduler) expectedWait(team *team, request *Ticket) time.Duration {
 	ahead := 0.0
 	for _, ticket := range team.waiting {
-		if ticket.Request.Priority >= request.Priority {
+		if ticket.goesBefore(request) {
 			ahead += ticket.Request.Cost
 		}
 	}
--- a/internal/coordination/admit/scheduler_test.go
+++ b/internal/coordination/admit/scheduler_test.go
@@ -36,6 +36,7 @@
 			"cancel":   model.cancel,
 			"pass":     func(t *rapid.T) { model.pass(t) },
 			"exchange": model.exchange,
+			"expire":   model.expire,
 			"":         model.check,
 		})
 	})
@@ -100,6 +101,16 @@
 	model.dispatch(t)
 }
 
+func (model *model) expire(t *rapid.T) {
+	for _, ticket := range model.scheduler.Expire(model.now) {
+		if ticket.Granted() || ticket.Request.Deadline.IsZero() {
+			t.Fatalf("gave up %+v", ticket.Request)
+		}
+		model.drop(t, ticket)
+	}
+	model.dispatch(t)
+}
+
 func (model *model) dispatch(t *rapid.T) {
 	for ticket := model.scheduler.Next(model.now); ticket != nil; ticket = model.scheduler.Next(model.now) {
 		model.drop(t, ticket)
--- a/internal/coordination/admit/share.go
+++ b/internal/coordination/admit/share.go
@@ -60,6 +60,18 @@
 // Members counts the live instances with this one. Members that are not among
 // peers, or are silent, keep an even part of the capacity for themselves.
 func (scheduler *Scheduler) Exchange(now time.Time, members int, peers []Peer) {
+	scheduler.apply(negotiate(now, scheduler.config.capacity, members, scheduler.Demand(), peers))
+}
+
+func (scheduler *Scheduler) apply(exchange exchange) {
+	scheduler.exchange = exchange
+	for name, team := range scheduler.teams {
+		scheduler.reweigh(team, team.weight, exchange.fraction(name))
+	}
+}
+
+// negotiate works out an exchange from this instance's demand and its peers'.
+func negotiate(now time.Time, capacity float64, members int, own []Demand, peers []Peer) exchange {
 	heard := make([][]Demand, 0, len(peers))
 	for _, peer := range peers {
 		if now.Sub(peer.At) <= peerSilence {
@@ -67,12 +79,9 @@
 		}
 	}
 	members = max(members, len(heard)+1)
-	even := scheduler.config.capacity / float64(members)
+	even := capacity / float64(members)
 	pool := even * float64(len(heard)+1)
-	scheduler.exchange = divide(pool, even, scheduler.Demand(), heard)
-	for name, team := range scheduler.teams {
-		scheduler.reweigh(team, team.weight, scheduler.exchange.fraction(name))
-	}
+	return divide(pool, even, own, heard)
 }
 
 // divide gives each team a weighted max-min fair part of the pool, and this
--- a/internal/coordination/admit/ticket.go
+++ b/internal/coordination/admit/ticket.go
@@ -17,16 +17,21 @@
 	return ticket.granted
 }
 
+// goesBefore orders the requests of one team by priority and age.
+func (ticket *Ticket) goesBefore(other *Ticket) bool {
+	if ticket.Request.Priority != other.Request.Priority {
+		return ticket.Request.Priority > other.Request.Priority
+	}
+	return ticket.sequence < other.sequence
+}
+
 // tickets is a heap of waiting requests of a team, by priority and age.
 type tickets []*Ticket
 
 func (tickets tickets) Len() int { return len(tickets) }
 
 func (tickets tickets) Less(i, j int) bool {
-	if tickets[i].Request.Priority != tickets[j].Request.Priority {
-		return tickets[i].Request.Priority > tickets[j].Request.Priority
-	}
-	return tickets[i].sequence < tickets[j].sequence
+	return tickets[i].goesBefore(tickets[j])
 }
 
 func (tickets tickets) Swap(i, j int) {
