--- a/internal/coordination/route/bench_test.go
+++ b/internal/coordination/route/bench_test.go
@@ -19,28 +19,36 @@
 	{"least-outstanding", func(random *rand.Rand) route.Picker { return &route.LeastOutstanding{Source: random.Uint64} }},
 }
 
-// BenchmarkFirstToken measures the pickers on one workload, over seeds.
+// BenchmarkFirstToken measures the pickers on one workload, over seeds: with
+// prompts that share prefixes, and with prompts that don't.
 func BenchmarkFirstToken(b *testing.B) {
-	const seeds, requests, perSecond = 5, 8000, 20
-	for _, lagMS := range []int{20, 100, 500} {
-		for _, picker := range pickers {
-			b.Run(fmt.Sprintf("lag=%dms/%s", lagMS, picker.name), func(b *testing.B) {
-				for range b.N {
-					var mean, p99, hits float64
-					for seed := range uint64(seeds) {
-						fleet := newFleet(seed+1, time.Duration(lagMS)*time.Millisecond, picker.make)
-						m, p, h := fleet.run(requests, perSecond)
-						mean, p99, hits = mean+m/seeds, p99+p/seeds, hits+h/seeds
+	for _, unique := range []bool{false, true} {
+		for _, lagMS := range []int{20, 100, 500} {
+			for _, picker := range pickers {
+				b.Run(fmt.Sprintf("unique=%v/lag=%dms/%s", unique, lagMS, picker.name), func(b *testing.B) {
+					for range b.N {
+						reportFirstToken(b, picker.make, unique, time.Duration(lagMS)*time.Millisecond)
 					}
-					b.ReportMetric(mean, "ttft-mean-ms")
-					b.ReportMetric(p99, "ttft-p99-ms")
-					b.ReportMetric(100*hits, "hit-%")
-				}
-			})
+				})
+			}
 		}
 	}
 }
 
+func reportFirstToken(b *testing.B, picker func(*rand.Rand) route.Picker, unique bool, lag time.Duration) {
+	const seeds, requests, perSecond = 5, 8000, 20
+	var mean, p99, hits float64
+	for seed := range uint64(seeds) {
+		fleet := newFleet(seed+1, lag, picker)
+		fleet.unique = unique
+		m, p, h := fleet.run(requests, perSecond)
+		mean, p99, hits = mean+m/seeds, p99+p/seeds, hits+h/seeds
+	}
+	b.ReportMetric(mean, "ttft-mean-ms")
+	b.ReportMetric(p99, "ttft-p99-ms")
+	b.ReportMetric(100*hits, "hit-%")
+}
+
 // BenchmarkPick measures one decision.
 func BenchmarkPick(b *testing.B) {
 	for _, count := range []int{12, 128, 12000} {
--- a/internal/coordination/route/queue_test.go
+++ b/internal/coordination/route/queue_test.go
@@ -1,7 +1,7 @@
 package route_test
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -96,11 +96,12 @@
 type fleet struct {
 	random  *rand.Rand
 	now     time.Time
-	events  events
+	events  []event // next one first
 	engines []*engine
 	tables  []*route.Table
 	picker  route.Picker
 	lag     time.Duration
+	unique  bool      // no two prompts share a prefix
 	delays  []float64 // seconds until the first token
 	hits    float64   // prompt tokens found in caches
 	prompts float64   // prompt tokens
@@ -179,6 +180,9 @@
 		length = 0
 	}
 	request := route.Request{Model: "guide", Repeatable: true, Predicted: 150}
+	if fleet.unique {
+		dossier = fleet.random.IntN(1 << 40)
+	}
 	for i := range length {
 		request.Blocks = append(request.Blocks, uint64(dossier)*0x9e3779b97f4a7c15+uint64(i)*0xd1342543de82ef95+1)
 	}
@@ -214,36 +218,29 @@
 }
 
 func (fleet *fleet) after(delay time.Duration, do func()) {
-	heap.Push(&fleet.events, event{fleet.now.Add(delay), do})
+	at := fleet.now.Add(delay)
+	place, _ := slices.BinarySearchFunc(fleet.events, at, func(event event, at time.Time) int {
+		return cmp.Or(event.at.Compare(at), -1)
+	})
+	fleet.events = slices.Insert(fleet.events, place, event{at, do})
 }
 
 func (fleet *fleet) advance(to time.Time) {
 	for len(fleet.events) > 0 && !fleet.events[0].at.After(to) {
-		next := heap.Pop(&fleet.events).(event)
+		next := fleet.events[0]
+		fleet.events = fleet.events[1:]
 		fleet.now = next.at
 		next.do()
 	}
 	fleet.now = to
 }
 
+// event is something that happens at a time to come.
 type event struct {
 	at time.Time
 	do func()
 }
 
-type events []event
-
-func (events events) Len() int           { return len(events) }
-func (events events) Less(i, j int) bool { return events[i].at.Before(events[j].at) }
-func (events events) Swap(i, j int)      { events[i], events[j] = events[j], events[i] }
-func (events *events) Push(item any)     { *events = append(*events, item.(event)) }
-
-func (events *events) Pop() any {
-	last := (*events)[len(*events)-1]
-	*events = (*events)[:len(*events)-1]
-	return last
-}
-
 func latest(times ...time.Time) time.Time {
 	return slices.MaxFunc(times, time.Time.Compare)
 }
