--- a/internal/coordination/order/order_test.go
+++ b/internal/coordination/order/order_test.go
@@ -20,34 +20,48 @@
 	os.Exit(m.Run())
 }
 
+// callTimeout is longer than any call takes without an outage.
+const callTimeout = 20 * time.Second
+
 // act is one order to a target or to the platform with a version of its own.
 type act func(process *process, version string) order.Result
 
 func toTarget(target note.Target) act {
 	return func(process *process, version string) order.Result {
-		return process.issuer.Do(context.Background(), order.Request{
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		return process.issuer.Do(ctx, order.Request{
 			Target: target, Order: order.Order{Kind: order.KindLoadModel, Model: "layout", Version: version},
 		})
 	}
 }
 
 func toPlatform(process *process, version string) order.Result {
-	return process.issuer.Platform(context.Background(), order.PlatformOrder{Kind: order.PlatformStop, Targets: []string{version}})
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return process.issuer.Platform(ctx, order.PlatformOrder{Kind: order.PlatformStop, Targets: []string{version}})
 }
 
 // recover settles tickets until none is open or some time has passed.
 func (process *process) recover() []order.Ticket {
 	for began := time.Now(); ; time.Sleep(time.Second) {
-		left, err := process.issuer.Recover(context.Background())
+		left, err := process.recoverOnce()
 		if err == nil && len(left) == 0 || time.Since(began) > 20*time.Second {
 			return left
 		}
 	}
 }
 
+func (process *process) recoverOnce() ([]order.Ticket, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return process.issuer.Recover(ctx)
+}
+
 // background runs fn until it is done or pauses.
 func (process *process) background(pauseAt int64, fn func()) (paused bool, done <-chan struct{}) {
 	ended := make(chan struct{})
+	process.paused, process.resume = make(chan struct{}), make(chan struct{})
 	process.pauseAt.Store(process.steps.Load() + pauseAt)
 	go func() {
 		defer close(ended)
--- a/internal/coordination/order/world_test.go
+++ b/internal/coordination/order/world_test.go
@@ -1,10 +1,12 @@
 package order_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +34,8 @@
 	arrivesLate // the sender gives up first
 	crashesTarget
 	refusedBusy
+	notSent
+	crossed // the answer is that to another order
 )
 
 // world is the oracle of targets and platform. It records each effect of an
@@ -40,6 +44,8 @@
 	store *memory.Store
 	lag   time.Duration
 	next  func(order.Kind) delivery
+	// beforeSend is called when a connection for an order is made.
+	beforeSend func()
 
 	mu       sync.Mutex
 	targets  map[string]*engine
@@ -79,7 +85,8 @@
 func newWorld(lag time.Duration) *world {
 	return &world{
 		store: memory.New(), lag: lag, targets: map[string]*engine{},
-		next: func(order.Kind) delivery { return arrives },
+		next:       func(order.Kind) delivery { return arrives },
+		beforeSend: func() {},
 	}
 }
 
@@ -158,6 +165,10 @@
 func (world *world) deliverLate() {
 	world.mu.Lock()
 	defer world.mu.Unlock()
+	world.arriveAll()
+}
+
+func (world *world) arriveAll() {
 	for _, message := range world.late {
 		world.deliver(message)
 	}
@@ -183,7 +194,6 @@
 func (world *world) start(name string, opts ...order.Option) *process {
 	process := &process{
 		name: name, world: world, client: world.store.Client(name),
-		paused: make(chan struct{}), resume: make(chan struct{}),
 	}
 	process.issuer = order.New(dataCenter, name, order.Services{
 		Store: process, Authority: process, Targets: process, Platform: process, Writers: process,
@@ -239,7 +249,22 @@
 func (process *process) Commit(ctx context.Context, writes ...table.Write) error {
 	process.step()
 	defer process.step()
-	return process.client.Commit(ctx, writes...)
+	err := process.client.Commit(ctx, writes...)
+	if err == nil {
+		process.world.checkWriter(process, writes)
+	}
+	return err
+}
+
+// checkWriter finds tickets that a process without authority opened.
+func (world *world) checkWriter(process *process, writes []table.Write) {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	for _, write := range writes {
+		if process.grant.Load().Epoch != world.epoch && bytes.Contains(write.Value, []byte(`"state":"open"`)) {
+			world.fail("%s wrote %s without authority", process.name, write.Value)
+		}
+	}
 }
 
 func (process *process) Send(ctx context.Context, target note.Target, got order.Order) (order.Ack, error) {
@@ -249,6 +274,7 @@
 	world.mu.Lock()
 	defer world.mu.Unlock()
 	engine := world.targets[target.ID]
+	world.beforeSend()
 	seen, _ := process.seen.Load(target.ID)
 	message := message{engine: engine, order: got, boot: engine.boot}
 	message.seen, _ = seen.(int)
@@ -261,8 +287,13 @@
 		return ack, nil
 	case refusedBusy:
 		return ack, code.Errorf(code.OrderRefused, "busy")
+	case notSent:
+		return order.Ack{}, code.Errorf(code.NoTarget, "connection refused")
 	case answerLost:
 		world.deliver(message)
+	case crossed:
+		world.late = append(world.late, message)
+		return order.Ack{Number: got.Number - 1, Boot: ack.Boot}, nil
 	case arrivesLate:
 		world.late = append(world.late, message)
 	case crashesTarget:
@@ -302,6 +333,9 @@
 	world.mu.Lock()
 	defer world.mu.Unlock()
 	fate := world.next("platform")
+	if fate == notSent {
+		return code.Errorf(code.NoTarget, "connection refused")
+	}
 	if fate == neverArrives {
 		return code.Errorf(code.TargetTimeout, "no answer")
 	}
@@ -346,3 +380,11 @@
 	}
 	return false, nil
 }
+
+// abandoned reports whether the last ticket of a target is abandoned.
+func (process *process) abandoned(target note.Target) bool {
+	tickets, _ := process.issuer.Tickets(context.Background(), dataCenter)
+	return slices.ContainsFunc(tickets, func(ticket order.Ticket) bool {
+		return ticket.Target.ID == target.ID && ticket.State == order.StateAbandoned
+	})
+}
