Put one instance in charge: leases, orders, drains and usage reports run

Each data center's orders and the usage reports are duties under a lease. The steward plans from the catalog and the targets' reports, issues orders by tickets, and asks the platform to end targets that were withdrawn or abandoned.

Seen in tests with short leases: a new model version reaches all four engines while answers stream without a cut; a withdrawn engine is drained, stopped and ended; orders go on after two of three instances are killed; usage of nine requests is reported exactly after the instance that took three was killed.

--- a/internal/coordination/order/order.go
+++ b/internal/coordination/order/order.go
@@ -61,6 +61,7 @@
 	Targets    []string     `json:"targets,omitempty"` // for stop: IDs
 	Count      int          `json:"count,omitempty"`   // for start: how many
 	Cheap      bool         `json:"cheap,omitempty"`   // for start: of those that may be reclaimed
+	Pool       string       `json:"pool,omitempty"`    // for start: model or service
 }
 
 // Ack is a target's acknowledgement of an order.
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -35,6 +35,8 @@
 	Queued        int           `json:"queued"`         // requests that wait
 	PrefillTokens int           `json:"prefill-tokens"` // prompt tokens still to process
 	DecodeTokens  int           `json:"decode-tokens"`  // tokens expected to generate
+	TotalPrefill  int64         `json:"total-prefill"`  // prompt tokens taken in since the start, less cached ones
+	TotalDecode   int64         `json:"total-decode"`   // tokens asked for since the start
 	Role          note.Role     `json:"role"`
 	Models        []ModelLoaded `json:"models"`
 	Adapters      []ModelLoaded `json:"adapters"`
@@ -93,4 +95,6 @@
 	Accepted bool   `json:"accepted"`
 	Fence    uint64 `json:"fence"`            // highest fencing number seen
 	Reason   string `json:"reason,omitempty"` // of a refusal
+	// Incarnation is that of Load, at the time of the reply.
+	Incarnation string `json:"incarnation,omitempty"`
 }
--- a/internal/protocol/infra/infra.go
+++ b/internal/protocol/infra/infra.go
@@ -63,6 +63,7 @@
 type Target struct {
 	note.Target
 	Life      Life  `json:"life"`
+	Ordered   bool  `json:"ordered,omitempty"`            // started by an order, not listed in a release note
 	NoticeEnd int64 `json:"notice-end-unix-ms,omitempty"` // when a reclaimed target goes away
 }
 
@@ -71,22 +72,22 @@
 	Targets []Target `json:"targets"`
 }
 
-// TargetOrder asks the platform to start or stop a target. Orders are
-// idempotent by their number.
+// TargetOrder asks the platform to start or stop targets of a data center.
+// Orders are idempotent by their number.
 type TargetOrder struct {
-	Number     string `json:"number"`
-	DataCenter string `json:"data-center"`
-	Stop       string `json:"stop,omitempty"`  // ID of the target to stop
-	Start      bool   `json:"start,omitempty"` // start one more
-	Cheap      bool   `json:"cheap,omitempty"`
-	Model      string `json:"model,omitempty"`
+	Number     uint64   `json:"number"` // unique for the data center
+	DataCenter string   `json:"data-center"`
+	Stop       []string `json:"stop,omitempty"`  // IDs of targets
+	Start      int      `json:"start,omitempty"` // how many
+	Cheap      bool     `json:"cheap,omitempty"` // of those that may be reclaimed
+	Pool       string   `json:"pool,omitempty"`  // model or service of those started
 }
 
 // TargetOrderReply answers an order.
 type TargetOrderReply struct {
-	Accepted bool   `json:"accepted"`
-	Target   string `json:"target,omitempty"` // ID of a started target
-	Reason   string `json:"reason,omitempty"`
+	Accepted bool     `json:"accepted"`
+	Started  []string `json:"started,omitempty"` // IDs of targets
+	Reason   string   `json:"reason,omitempty"`
 }
 
 // UsageReport is a report as the platform's usage interface takes it. Reports
--- a/internal/transport/entry/build.go
+++ b/internal/transport/entry/build.go
@@ -44,6 +44,7 @@
 	instance.buildUsage()
 	instance.buildRelay()
 	instance.watcher = newWatcher(instance)
+	instance.control = newControl(instance)
 	instance.buildServers()
 }
 
@@ -62,6 +63,7 @@
 	opts := []usage.Option{
 		usage.WithLogger(instance.logger),
 		usage.WithWindow(conf.Milliseconds(settings.Usage.WindowMS)),
+		usage.WithHeartbeat(copyHeartbeat),
 		usage.WithCopyTimeout(conf.Milliseconds(settings.Usage.CopyMS)),
 	}
 	instance.holder = usage.NewHolder(settings.Instance, append(opts, usage.WithRegisterer(instance.registry))...)
@@ -152,6 +154,7 @@
 		Reporter:  instance,
 		Copier:    &copier{instance: instance},
 		Collector: &copier{instance: instance},
+		Dropper:   instance,
 		Notes:     instance.feed,
 	}))
 	mux.Handle("GET /metrics", promhttp.HandlerFor(instance.registry, promhttp.HandlerOpts{}))
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -75,6 +75,7 @@
 	callers  *front.Server
 	inner    *front.Server
 	watcher  *watcher
+	control  *control
 
 	cancel  context.CancelFunc
 	running []part
@@ -119,6 +120,7 @@
 		{"once", instance.guard.Start(ctx)},
 		{"relay", instance.relay.Start(ctx)},
 		{"watcher", instance.watcher.Start(ctx)},
+		{"control", instance.control.Start(ctx)},
 	}
 	instance.logger.Info().Str("part", "entry").Str("listen", instance.callers.Address()).Msg("instance runs")
 	return nil
--- a/internal/transport/entry/watcher.go
+++ b/internal/transport/entry/watcher.go
@@ -33,6 +33,7 @@
 	polls    map[string]*poll
 	listed   map[string]infra.Target
 	count    atomic.Int64
+	snapshot atomic.Pointer[snapshot]
 }
 
 // poll is the polling of one target.
@@ -40,6 +41,7 @@
 	address string
 	cancel  context.CancelFunc
 	last    engine.Load
+	asked   time.Time
 	known   bool
 }
 
@@ -89,6 +91,7 @@
 			watcher.refresh(ctx)
 		case <-ticker.C:
 			watcher.exchange()
+			watcher.publish()
 			if !asking {
 				asking = true
 				go func() { lists <- watcher.list(ctx) }()
@@ -137,17 +140,7 @@
 // known returns the targets of the catalog and those that were ordered, as
 // far as they have not ended.
 func (watcher *watcher) known(catalog *note.Catalog) map[string]infra.Target {
-	known := map[string]infra.Target{}
-	for id, target := range watcher.listed {
-		known[id] = target
-	}
-	for id, target := range catalog.Targets {
-		life := infra.Live
-		if listed, ok := watcher.listed[id]; ok {
-			life = listed.Life
-		}
-		known[id] = infra.Target{Target: target, Life: life}
-	}
+	known := watcher.listedOr(catalog)
 	for id, target := range known {
 		if target.Life == infra.Ended {
 			delete(known, id)
@@ -170,7 +163,9 @@
 	for id, target := range known {
 		current := watcher.current(target.Target)
 		poll := watcher.polls[id]
-		leaving := target.Life == infra.Leaving || poll.last.Draining || poll.last.Changing
+		_, listed := catalog.Targets[id]
+		withdrawn := !listed && !target.Ordered
+		leaving := withdrawn || target.Life == infra.Leaving || poll.last.Draining || poll.last.Changing
 		targets = append(targets, route.Target{Target: current, Leaving: leaving})
 		members = append(members, health.Member{Target: id, Group: groupOf(current)})
 		plain = append(plain, current)
@@ -179,6 +174,7 @@
 	watcher.instance.health.SetMembers(members)
 	watcher.instance.relay.SetRates(plain)
 	watcher.setCapacity(plain)
+	watcher.publish()
 	watcher.count.Store(int64(len(targets)))
 }
 
@@ -208,6 +204,38 @@
 	return target.DataCenter + "/" + target.Models[0]
 }
 
+// publish gives what is known to the parts that decide about orders.
+func (watcher *watcher) publish() {
+	catalog := watcher.instance.feed.Current()
+	if catalog == nil {
+		return
+	}
+	next := &snapshot{targets: watcher.listedOr(catalog), loads: map[string]reading{}}
+	for id, poll := range watcher.polls {
+		if poll.known {
+			next.loads[id] = reading{load: poll.last, asked: poll.asked}
+		}
+	}
+	watcher.snapshot.Store(next)
+}
+
+// listedOr returns the targets of the platform's list and the catalog, those
+// that ended too.
+func (watcher *watcher) listedOr(catalog *note.Catalog) map[string]infra.Target {
+	targets := map[string]infra.Target{}
+	for id, target := range watcher.listed {
+		targets[id] = target
+	}
+	for id, target := range catalog.Targets {
+		life := infra.Live
+		if listed, ok := watcher.listed[id]; ok {
+			life = listed.Life
+		}
+		targets[id] = infra.Target{Target: target, Life: life}
+	}
+	return targets
+}
+
 func (watcher *watcher) setCapacity(targets []note.Target) {
 	engines, services := 0.0, 0.0
 	for _, target := range targets {
@@ -296,7 +324,7 @@
 		return
 	}
 	before, known := poll.last, poll.known
-	poll.last, poll.known = report.load, true
+	poll.last, poll.asked, poll.known = report.load, report.asked, true
 	watcher.instance.targets.Report(report.target, route.Load{
 		At: measuredAt(report),
 		Work: route.Work{
--- a/internal/transport/fakes/control.go
+++ b/internal/transport/fakes/control.go
@@ -29,6 +29,7 @@
 		Incarnation: strconv.Itoa(fake.incarnation),
 		Running:     running, Queued: queued,
 		PrefillTokens: fake.prefillLeft, DecodeTokens: fake.decodeLeft,
+		TotalPrefill: fake.prefillSum, TotalDecode: fake.decodeSum,
 		Role: fake.role, Models: fake.models, Adapters: fake.adapters,
 		Fence: fake.fence, LastOrder: fake.lastOrder, Changing: fake.changing, Draining: fake.draining,
 	})
@@ -69,12 +70,19 @@
 		return
 	}
 	reply := fake.takeOrder(order)
+	reply.Incarnation = fake.life()
 	if !reply.Accepted {
 		w.WriteHeader(http.StatusConflict)
 	}
 	_ = json.MarshalWrite(w, reply)
 }
 
+func (fake *Engine) life() string {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	return strconv.Itoa(fake.incarnation)
+}
+
 func (fake *Engine) takeOrder(order engine.Order) engine.OrderReply {
 	fake.mu.Lock()
 	defer fake.mu.Unlock()
--- a/internal/transport/fakes/engine.go
+++ b/internal/transport/fakes/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,8 @@
 	prefillFree time.Time
 	prefillLeft int
 	decodeLeft  int
+	prefillSum  int64
+	decodeSum   int64
 	incarnation int
 	handles     map[string]struct{}
 	reports     []engine.Load
@@ -175,6 +178,8 @@
 	}
 	fake.prefillLeft += prompt
 	fake.decodeLeft += output
+	fake.prefillSum += int64(prompt)
+	fake.decodeSum += int64(output)
 	return fake.prefillFree.Sub(now), false
 }
 
@@ -229,3 +234,10 @@
 func (fake *Engine) Running() int {
 	return fake.slots.running()
 }
+
+// Serves reports whether the engine serves a version of a model.
+func (fake *Engine) Serves(model, version string) bool {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	return slices.Contains(fake.models, engine.ModelLoaded{Name: model, Version: version})
+}
--- a/internal/transport/fakes/platform.go
+++ b/internal/transport/fakes/platform.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"io"
 	"net/http"
+	"reflect"
 	"strconv"
 	"sync"
 	"time"
@@ -29,7 +30,7 @@
 	mu        sync.Mutex
 	instances map[string]infra.Instance
 	targets   map[string]infra.Target
-	orders    map[string]orderRecord
+	orders    map[orderKey]orderRecord
 	log       []infra.TargetOrder
 	reports   map[string][]byte
 	listLag   time.Duration
@@ -37,6 +38,11 @@
 	listedAt  time.Time
 }
 
+type orderKey struct {
+	dataCenter string
+	number     uint64
+}
+
 type orderRecord struct {
 	order infra.TargetOrder
 	reply infra.TargetOrderReply
@@ -48,7 +54,7 @@
 		Store:     memory.New(),
 		instances: map[string]infra.Instance{},
 		targets:   map[string]infra.Target{},
-		orders:    map[string]orderRecord{},
+		orders:    map[orderKey]orderRecord{},
 		reports:   map[string][]byte{},
 	}
 }
@@ -188,44 +194,57 @@
 func (platform *Platform) order(order infra.TargetOrder) (infra.TargetOrderReply, error) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
-	if record, ok := platform.orders[order.Number]; ok {
-		if record.order != order {
-			return infra.TargetOrderReply{}, code.Errorf(code.OrderRefused, "order %s was sent with other content", order.Number)
+	key := orderKey{dataCenter: order.DataCenter, number: order.Number}
+	if record, ok := platform.orders[key]; ok {
+		if !reflect.DeepEqual(record.order, order) {
+			return infra.TargetOrderReply{}, code.Errorf(code.OrderRefused, "order %d was sent with other content", order.Number)
 		}
 		return record.reply, nil
 	}
 	reply := platform.carryOut(order)
-	platform.orders[order.Number] = orderRecord{order: order, reply: reply}
+	platform.orders[key] = orderRecord{order: order, reply: reply}
 	platform.log = append(platform.log, order)
 	return reply, nil
 }
 
 func (platform *Platform) carryOut(order infra.TargetOrder) infra.TargetOrderReply {
-	if order.Start {
-		return platform.startTarget(order)
+	reply := infra.TargetOrderReply{Accepted: true}
+	for _, id := range order.Stop {
+		platform.stopTarget(id)
+	}
+	for range order.Start {
+		if err := platform.startTarget(order, &reply); err != nil {
+			reply.Accepted, reply.Reason = len(reply.Started) > 0, err.Error()
+			break
+		}
 	}
-	target, ok := platform.targets[order.Stop]
+	return reply
+}
+
+func (platform *Platform) stopTarget(id string) {
+	target, ok := platform.targets[id]
 	if !ok {
-		return infra.TargetOrderReply{Reason: fmt.Sprintf("no target %q", order.Stop)}
+		return
 	}
 	target.Life = infra.Ended
-	platform.targets[order.Stop] = target
+	platform.targets[id] = target
 	if platform.Stop != nil {
-		platform.Stop(order.Stop)
+		platform.Stop(id)
 	}
-	return infra.TargetOrderReply{Accepted: true}
 }
 
-func (platform *Platform) startTarget(order infra.TargetOrder) infra.TargetOrderReply {
+func (platform *Platform) startTarget(order infra.TargetOrder, reply *infra.TargetOrderReply) error {
 	if platform.Start == nil {
-		return infra.TargetOrderReply{Reason: "no capacity"}
+		return errors.New("no capacity")
 	}
 	target, err := platform.Start(order)
 	if err != nil {
-		return infra.TargetOrderReply{Reason: err.Error()}
+		return err
 	}
+	target.Ordered = true
 	platform.targets[target.ID] = target
-	return infra.TargetOrderReply{Accepted: true, Target: target.ID}
+	reply.Started = append(reply.Started, target.ID)
+	return nil
 }
 
 func (platform *Platform) serveUsage(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/lab/lab.go
+++ b/internal/transport/lab/lab.go
@@ -250,6 +250,12 @@
 	return nil
 }
 
+// Kill ends an entry instance at once. The platform's list keeps it as live,
+// as it does for a while when a process is killed.
+func (lab *Lab) Kill(number int) {
+	lab.Entries[number].Kill()
+}
+
 // Close ends everything at once.
 func (lab *Lab) Close() {
 	var group sync.WaitGroup
