--- a/internal/coordination/gossip/origin.go
+++ b/internal/coordination/gossip/origin.go
@@ -69,7 +69,7 @@
 // outlive raises the incarnation above one that an earlier start of this
 // instance used, which happens when the wall clock went back. It needs mu.
 func (members *Members) outlive(version *peerpb.Version) {
-	if newer(version, &members.version) {
+	if newer(version, &members.version) && version.GetIncarnation() < versionMax {
 		members.version.Incarnation = version.GetIncarnation() + 1
 	}
 }
