--- a/cmd/mangopier/demo.go
+++ b/cmd/mangopier/demo.go
@@ -19,13 +19,6 @@
 	LogLevel string        `long:"log-level" default:"info" value-name:"LEVEL" description:"debug, info, warn or error"`
 }
 
-// demoReady is the line that tells that the demo is ready.
-type demoReady struct {
-	Entries []string          `json:"entries"`
-	Keys    map[string]string `json:"keys"`
-	Metrics []string          `json:"metrics"`
-}
-
 const demoStartTimeout = 20 * time.Second
 
 // Execute runs a whole system until a signal or the given time ends it.
@@ -49,13 +42,9 @@
 	return nil
 }
 
+// printReady prints the line that tells that the demo is ready.
 func printReady(running *lab.Lab) error {
-	ready := demoReady{Keys: running.Keys}
-	for _, instance := range running.Entries {
-		ready.Entries = append(ready.Entries, "http://"+instance.Callers())
-		ready.Metrics = append(ready.Metrics, "http://"+instance.Inner()+"/metrics")
-	}
-	line, err := json.Marshal(ready, json.Deterministic(true))
+	line, err := json.Marshal(running.Endpoint(), json.Deterministic(true))
 	if err != nil {
 		return code.Wrap(err, code.Internal, "encode ready line")
 	}
--- a/cmd/mangopier/main.go
+++ b/cmd/mangopier/main.go
@@ -61,6 +61,7 @@
 	}{
 		{"serve", "Run one entry instance", "Runs one entry instance until it is told to stop by SIGTERM or SIGINT.", &serveCommand{}},
 		{"demo", "Run a whole system on loopback", "Runs a stand-in platform, stand-in targets and entry instances in this process.", &demoCommand{}},
+		{"bench", "Run an experiment", "Runs an experiment on stand-ins in this process, or drives a running demo.", &benchCommand{}},
 		{"version", "Print the version", "Prints the version.", &versionCommand{}},
 	}
 	for _, command := range commands {
--- a/internal/protocol/conf/conf.go
+++ b/internal/protocol/conf/conf.go
@@ -58,6 +58,7 @@
 type Policy struct {
 	Routing   string `json:"routing"`   // cost, round-robin, random or least-outstanding
 	Admission string `json:"admission"` // fair, first-come or token-bucket
+	Retries   string `json:"retries"`   // budget, unbounded or none
 	Roles     string `json:"roles"`     // adaptive, threshold or never
 	Capacity  string `json:"capacity"`  // adaptive or fixed
 }
@@ -86,7 +87,7 @@
 			RequestMS: 120_000, ArrivalMS: 15_000, SilenceMS: 5_000, DialMS: 500,
 			DrainGraceMS: 3_000, DrainMS: 120_000, LeaseMS: 5_000, PollMS: 250,
 		},
-		Policy: Policy{Routing: "cost", Admission: "fair", Roles: "adaptive", Capacity: "adaptive"},
+		Policy: Policy{Routing: "cost", Admission: "fair", Retries: "budget", Roles: "adaptive", Capacity: "adaptive"},
 		Usage:  Usage{WindowMS: 60_000, GraceMS: 5_000, CopyMS: 50},
 	}
 }
@@ -139,6 +140,7 @@
 		checkOneOf("/log-level", settings.LogLevel, "debug", "info", "warn", "error"),
 		checkOneOf("/policy/routing", settings.Policy.Routing, "cost", "round-robin", "random", "least-outstanding"),
 		checkOneOf("/policy/admission", settings.Policy.Admission, "fair", "first-come", "token-bucket"),
+		checkOneOf("/policy/retries", settings.Policy.Retries, "budget", "unbounded", "none"),
 		checkOneOf("/policy/roles", settings.Policy.Roles, "adaptive", "threshold", "never"),
 		checkOneOf("/policy/capacity", settings.Policy.Capacity, "adaptive", "fixed"),
 	}
--- a/internal/transport/entry/build.go
+++ b/internal/transport/entry/build.go
@@ -90,7 +90,7 @@
 	instance.relay = relay.New(settings.Instance, instance.feed, instance.targets, instance.client,
 		relay.WithPicker(pickerFor(settings.Policy.Routing)),
 		relay.WithAdmission(instance.queues.engines, instance.queues.services),
-		relay.WithPolicy(retry.New(retry.WithTries(settings.Limits.Attempts))),
+		relay.WithPolicy(retriesFor(settings)),
 		relay.WithHealth(instance.health),
 		relay.WithPoison(instance.poison),
 		relay.WithGuard(instance.guard),
@@ -115,6 +115,20 @@
 	}
 }
 
+func retriesFor(settings conf.Settings) *retry.Policy {
+	switch settings.Policy.Retries {
+	case "none":
+		return retry.New(retry.WithTries(1))
+	case "unbounded":
+		return retry.New(retry.WithTries(unboundedTries), retry.WithBudget(retry.NewBudget(unboundedTries, 1e9, 1e9)))
+	default:
+		return retry.New(retry.WithTries(settings.Limits.Attempts))
+	}
+}
+
+// unboundedTries is far more than there are targets for a request.
+const unboundedTries = 100
+
 // queueUnits bounds the cost that waits per team, next to the bound on
 // requests.
 const queueUnits = 1e6
