Learn per team whether keeping a prefix at its owner pays

The owner of a prefix counted as holding 95% of any prompt, also where no two prompts share one. The share now follows what owners were found to hold.

The samples of a target's work take memory only once it gets work.

Removed one at a time, each seen red: learning, the owner's credit, work behind a request by priority, the way to the data centre.

--- a/internal/coordination/route/cache.go
+++ b/internal/coordination/route/cache.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"sync/atomic"
 )
 
@@ -24,15 +23,12 @@
 type prefixes struct {
 	slots atomic.Pointer[[prefixSlots]atomic.Uint64]
 	last  atomic.Uint64 // sequence of the newest event
-	trust atomic.Uint64 // bits of the share of expected blocks that are found
+	trust share         // of expected blocks that are found
 }
 
-func (prefixes *prefixes) share() float64 {
-	bits := prefixes.trust.Load()
-	if bits == 0 {
-		return 1
-	}
-	return math.Float64frombits(bits)
+// found returns the share of expected blocks that are found.
+func (prefixes *prefixes) found() float64 {
+	return prefixes.trust.value(1)
 }
 
 func (prefixes *prefixes) has(block uint64) bool {
@@ -82,7 +78,7 @@
 	}
 	prefixes.last.Store(sequence)
 	if last > 0 && sequence > last+1 {
-		prefixes.setShare(prefixes.share() * trustGapLoss)
+		prefixes.trust.set(max(trustMin, prefixes.found()*trustGapLoss))
 	}
 }
 
@@ -90,12 +86,8 @@
 	if expected <= 0 {
 		return
 	}
-	ratio := min(1, float64(found)/float64(expected))
-	prefixes.setShare(prefixes.share() + trustGain*(ratio-prefixes.share()))
-}
-
-func (prefixes *prefixes) setShare(share float64) {
-	prefixes.trust.Store(math.Float64bits(max(trustMin, share)))
+	ratio := max(trustMin, float64(found)/float64(expected))
+	prefixes.trust.learn(1, ratio, trustGain)
 }
 
 func (prefixes *prefixes) allocate() *[prefixSlots]atomic.Uint64 {
--- a/internal/coordination/route/candidate.go
+++ b/internal/coordination/route/candidate.go
@@ -21,6 +21,7 @@
 type candidates struct {
 	members [candidateLimit]*member
 	count   int
+	hint    hint
 	owner   *member // first owner of the prefix, nil without one
 	mean    float64 // mean prefill backlog of the targets looked at
 }
--- a/internal/coordination/route/flight.go
+++ b/internal/coordination/route/flight.go
@@ -17,8 +17,10 @@
 
 // flight is the state of one choice.
 type flight struct {
-	node  *node
-	phase atomic.Int32
+	node   *node
+	phase  atomic.Int32
+	hint   hint // of the team, empty unless the target owns the prefix
+	prompt int  // tokens
 }
 
 // FirstToken takes the request's prefill work out of the counters, as its
@@ -58,4 +60,7 @@
 // where Cached were expected.
 func (choice Choice) Learn(found int) {
 	choice.flight.node.prefixes.learn(choice.Cached, found)
+	if choice.flight.hint.share != nil {
+		choice.flight.hint.learn(found, choice.flight.prompt)
+	}
 }
--- a/internal/coordination/route/node.go
+++ b/internal/coordination/route/node.go
@@ -93,7 +93,7 @@
 	}
 	count := member.prefixes.count(request.Blocks)
 	share := float64(count) / float64(len(request.Blocks))
-	return int(share * member.prefixes.share() * float64(request.PromptTokens))
+	return int(share * member.prefixes.found() * float64(request.PromptTokens))
 }
 
 // firstToken returns the expected seconds until the first token.
--- a/internal/coordination/route/pick.go
+++ b/internal/coordination/route/pick.go
@@ -7,7 +7,7 @@
 
 const (
 	scanLimit    = 64   // targets of a pool looked at per request
-	affinityHint = 0.95 // share of a prompt expected at the owner of its prefix
+	affinityHint = 0.95 // share of a prompt first expected at the owner of its prefix
 	loadBound    = 2.0  // factor on the mean backlog up to which affinity counts
 	missWeight   = 2.0  // prefill time of a miss counts so often again, for what it evicts
 )
@@ -17,7 +17,7 @@
 // random ones.
 type Chooser struct {
 	random func() uint64
-	hint   float64
+	hints  hints
 }
 
 // Option changes a setting of a picker.
@@ -30,14 +30,14 @@
 }
 
 // WithAffinityHint sets the share of a prompt that is expected in the cache
-// of the prefix's owner when nothing else is known.
+// of the prefix's owner before something was learnt of the team.
 func WithAffinityHint(share float64) Option {
-	return func(chooser *Chooser) { chooser.hint = share }
+	return func(chooser *Chooser) { chooser.hints.first = share }
 }
 
 // New returns a picker by expected cost.
 func New(opts ...Option) *Chooser {
-	chooser := &Chooser{random: rand.Uint64, hint: affinityHint}
+	chooser := &Chooser{random: rand.Uint64, hints: hints{first: affinityHint}}
 	for _, opt := range opts {
 		opt(chooser)
 	}
@@ -70,11 +70,11 @@
 }
 
 func (chooser *Chooser) pickFrom(pool []*member, request *Request, takesPart func(*member) bool) (Choice, bool) {
-	var found candidates
+	found := candidates{hint: chooser.hints.of(request.Team)}
 	chooser.collect(&found, pool, request, takesPart)
 	var best candidate
 	for _, member := range found.members[:found.count] {
-		if rated := chooser.rate(&found, member, request); best.member == nil || rated.cost < best.cost {
+		if rated := rate(&found, member, request); best.member == nil || rated.cost < best.cost {
 			best = rated
 		}
 	}
@@ -83,20 +83,23 @@
 	}
 	choice := choose(best.member, request, best.work, best.ahead)
 	choice.Cached = best.cached
+	if best.member == found.owner {
+		choice.flight.hint = found.hint
+	}
 	return choice, true
 }
 
 // rate works out the expected cost of sending the request to a target, and
 // what a cache miss there costs later requests. The first owner of the prefix
-// counts as holding most of it, as other instances send it there too, unless
-// it has much more to do than the others.
-func (chooser *Chooser) rate(found *candidates, member *member, request *Request) candidate {
+// counts as holding what owners were found to hold, as other instances send it
+// there too, unless it has much more to do than the others.
+func rate(found *candidates, member *member, request *Request) candidate {
 	cached := member.expect(request)
 	ahead := member.ahead(request.Priority)
 	work := request.work(cached)
 	credit := cached
 	if member == found.owner && float64(ahead.PrefillTokens) <= loadBound*found.mean {
-		credit = max(credit, int(chooser.hint*float64(request.PromptTokens)))
+		credit = max(credit, int(found.hint.value()*float64(request.PromptTokens)))
 	}
 	missed := float64(request.PromptTokens-credit) / member.prefill
 	cost := member.cost(work, ahead) + missWeight*missed - float64(credit-cached)/member.prefill
@@ -146,6 +149,6 @@
 		Work:     work,
 		Priority: request.Priority,
 		Delay:    time.Duration(member.firstToken(work, ahead) * float64(time.Second)),
-		flight:   &flight{node: member.node},
+		flight:   &flight{node: member.node, prompt: request.PromptTokens},
 	}
 }
--- a/internal/coordination/route/route_test.go
+++ b/internal/coordination/route/route_test.go
@@ -156,6 +156,65 @@
 	}
 }
 
+// TestDelayByPriority has three requests of one size wait at a target: one of
+// each priority waits only for those that are not behind it.
+func TestDelayByPriority(t *testing.T) {
+	table := route.NewTable(route.WithDistances(map[string]time.Duration{"dc0": time.Millisecond}))
+	table.SetTargets([]route.Target{{Target: engineTarget(0)}})
+	pick := func(priority route.Priority) route.Choice {
+		choice, err := route.New().Pick(table.View(), &route.Request{Model: "guide", PromptTokens: 8000, Priority: priority})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return choice
+	}
+	for priority := route.PriorityLow; priority <= route.PriorityHigh; priority++ {
+		table.View().Start(pick(priority))
+	}
+	for priority, want := range map[route.Priority]time.Duration{
+		route.PriorityHigh: 2001 * time.Millisecond, route.PriorityNormal: 3001 * time.Millisecond, route.PriorityLow: 4001 * time.Millisecond,
+	} {
+		if got := pick(priority).Delay.Round(time.Millisecond); got != want {
+			t.Errorf("priority %d waits %v, want %v", priority, got, want)
+		}
+	}
+}
+
+// TestPrefersNearTargets sends idle targets' work to the near one, until it
+// has more to do than the way to the other takes.
+func TestPrefersNearTargets(t *testing.T) {
+	table := route.NewTable(route.WithDistances(map[string]time.Duration{"dc2": 50 * time.Millisecond}))
+	table.SetTargets([]route.Target{{Target: engineTarget(0)}, {Target: engineTarget(2)}})
+	for _, want := range []string{"t0", "t2"} {
+		choice, err := route.New().Pick(table.View(), &route.Request{Model: "guide", PromptTokens: 800})
+		if err != nil || choice.Target.ID != want {
+			t.Fatalf("picked %v, want %s: %v", choice.Target, want, err)
+		}
+		table.View().Start(choice)
+	}
+}
+
+// TestAffinityIsLearnt sends equal prefixes with and without hits in caches:
+// they stay at one target only while that pays.
+func TestAffinityIsLearnt(t *testing.T) {
+	for _, found := range []int{4000, 0} {
+		table, picker := route.NewTable(), route.New()
+		table.SetTargets([]route.Target{{Target: engineTarget(0)}, {Target: engineTarget(2)}, {Target: engineTarget(4)}})
+		ask, counts := &route.Request{Model: "guide", Team: "press", PromptTokens: 4096, Blocks: []uint64{1, 2, 3}}, map[string]int{}
+		for range 300 {
+			choice, err := picker.Pick(table.View(), ask)
+			if err != nil {
+				t.Fatal(err)
+			}
+			counts[choice.Target.ID]++
+			choice.Learn(found)
+		}
+		if most := max(counts["t0"], counts["t2"], counts["t4"]); (most > 290) != (found > 0) {
+			t.Errorf("%d tokens found: %v", found, counts)
+		}
+	}
+}
+
 func TestSubsetIsBoundedAndStable(t *testing.T) {
 	const subset, centres = 8, 4
 	picked := func(count int) map[string]bool {
--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -137,7 +137,11 @@
 	defer table.mutex.Unlock()
 	sent := map[string]Work{}
 	for id, node := range table.nodes {
-		work := node.own.total.load().plus(table.included(id, node).negate()).atLeast(Work{})
+		own := node.own.total.load()
+		if own.Requests <= 0 {
+			continue
+		}
+		work := own.plus(table.included(id, node).negate()).atLeast(Work{})
 		if work.Requests > 0 {
 			sent[id] = work
 		}
--- a/internal/coordination/route/work.go
+++ b/internal/coordination/route/work.go
@@ -40,9 +40,9 @@
 // counter holds the work in flight at one target and samples of its past.
 type counter struct {
 	total   atomicWork
-	low     atomicWork // part of total below normal priority
-	high    atomicWork // part of total above normal priority
-	samples [sampleSize]sample
+	low     atomicWork                         // part of total below normal priority
+	high    atomicWork                         // part of total above normal priority
+	samples atomic.Pointer[[sampleSize]sample] // nil until the first work
 }
 
 type atomicWork struct {
@@ -96,7 +96,7 @@
 }
 
 func (counter *counter) record(period int64) {
-	slot := &counter.samples[period%sampleSize]
+	slot := &counter.history()[period%sampleSize]
 	last := slot.period.Load()
 	if last >= period || !slot.period.CompareAndSwap(last, period) {
 		return
@@ -104,14 +104,26 @@
 	slot.work.store(counter.total.load())
 }
 
+func (counter *counter) history() *[sampleSize]sample {
+	if samples := counter.samples.Load(); samples != nil {
+		return samples
+	}
+	counter.samples.CompareAndSwap(nil, new([sampleSize]sample))
+	return counter.samples.Load()
+}
+
 // at returns the work in flight at a time in the past, to the precision of
 // the samples.
 func (counter *counter) at(then time.Time) Work {
 	from := periodOf(then) + 1
 	best := int64(-1)
 	work := counter.total.load()
-	for i := range counter.samples {
-		slot := &counter.samples[i]
+	samples := counter.samples.Load()
+	if samples == nil {
+		return work
+	}
+	for i := range samples {
+		slot := &samples[i]
 		period := slot.period.Load()
 		if period < from || (best >= 0 && period >= best) {
 			continue
