Stand odd costs in admission, and measure its rate by expected costs

A cost that is infinite or no number, from a rate of zero or a malformed peer, blocked a team or the exchange for good. Costs are bounded on entry. Requests that failed at once, at no cost, drove the measured rate to zero, so that the queue behind them was refused; the rate now counts what the requests were expected to cost.

--- a/internal/coordination/admit/admit.go
+++ b/internal/coordination/admit/admit.go
@@ -36,7 +36,7 @@
 
 func (request *Request) weight() float64 {
 	if request.Weight > 0 {
-		return request.Weight
+		return min(costMax, request.Weight)
 	}
 	return 1
 }
--- a/internal/coordination/admit/drain.go
+++ b/internal/coordination/admit/drain.go
@@ -9,7 +9,8 @@
 	drainGain     = 0.3
 )
 
-// drain measures the cost units finished per second while requests wait.
+// drain measures the cost units finished per second while requests wait, by the
+// costs that were expected, as those of the waiting requests are.
 type drain struct {
 	rate     float64
 	measured bool      // the rate is no longer the one that was set
--- a/internal/coordination/admit/option.go
+++ b/internal/coordination/admit/option.go
@@ -1,11 +1,17 @@
 package admit
 
+import "math"
+
 const (
 	capacityDefault   = 64.0
 	queueDefault      = 256  // requests
 	queueCostDefault  = 1024 // cost units
 	membersDefault    = 1
 	rateDefault       = 64.0 // cost units per second
+	costMin           = 1e-6 // cost units
+	costMax           = 1e6  // cost units
+	rateMin           = 1e-6 // cost units per second
+	waitMaxSeconds    = 3600.0
 	retryMinSeconds   = 1
 	retryMaxSeconds   = 60
 	teamsSweepMinimum = 64
@@ -57,3 +63,12 @@
 	}
 	return config
 }
+
+// bounded returns a cost between a least one and costMax, also for what is no
+// number.
+func bounded(cost, least float64) float64 {
+	if math.IsNaN(cost) {
+		return least
+	}
+	return min(costMax, max(least, cost))
+}
--- a/internal/coordination/admit/queue_test.go
+++ b/internal/coordination/admit/queue_test.go
@@ -70,6 +70,34 @@
 	})
 }
 
+// TestFailuresKeepTheRate has requests fail at once, at no cost: the queue is
+// expected to go on at that speed.
+func TestFailuresKeepTheRate(t *testing.T) {
+	now := time.UnixMilli(1e12)
+	scheduler := admit.NewScheduler(admit.WithCapacity(1), admit.WithQueue(1000, 1e9))
+	running, err := scheduler.Offer(now, admit.Request{Team: "a", Cost: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 200 {
+		request := admit.Request{Team: "a", Cost: 1, Deadline: now.Add(time.Minute)}
+		if _, err := scheduler.Offer(now, request); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		scheduler.Finish(now, running, 0)
+		running = scheduler.Next(now)
+	}
+	if expired := scheduler.Expire(now); len(expired) > 0 {
+		t.Fatalf("%d given up", len(expired))
+	}
+	if _, err := scheduler.Offer(now, admit.Request{Team: "a", Cost: 1, Deadline: now.Add(20 * time.Second)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestAdmitRefusesByBacklog checks refusals on entry: a wait that the backlog
 // makes too long, and a full queue, whose retry hint is the backlog's time.
 func TestAdmitRefusesByBacklog(t *testing.T) {
--- a/internal/coordination/admit/scheduler.go
+++ b/internal/coordination/admit/scheduler.go
@@ -22,6 +22,7 @@
 	virtual  float64
 	latest   float64 // greatest finish of any team
 	running  float64 // cost units in flight
+	inFlight int     // requests
 	waiting  int
 	sequence uint64
 	sweepAt  int
@@ -44,6 +45,7 @@
 // Offer takes a request in. The ticket is granted or waits; a refusal has the
 // code TeamOverloaded or DeadlineTooShort.
 func (scheduler *Scheduler) Offer(now time.Time, request Request) (*Ticket, error) {
+	request.Cost = bounded(request.Cost, costMin)
 	team := scheduler.teamOf(&request)
 	ticket := &Ticket{Request: request, team: team, index: -1}
 	if scheduler.waiting == 0 && scheduler.fits(request.Cost) {
@@ -118,19 +120,18 @@
 	}
 	ticket.released = true
 	team := ticket.team
-	scheduler.running = max(0, scheduler.running-ticket.Request.Cost)
-	team.running = max(0, team.running-ticket.Request.Cost)
-	difference := (actualCost - ticket.Request.Cost) / team.share()
+	scheduler.land(ticket)
+	difference := (bounded(actualCost, 0) - ticket.Request.Cost) / team.share()
 	team.finish += difference
 	if team.index >= 0 {
 		team.start += difference
 		heap.Fix(&scheduler.active, team.index)
 	}
 	scheduler.latest = max(scheduler.latest, team.finish)
-	if scheduler.running == 0 && scheduler.waiting == 0 {
+	if scheduler.inFlight == 0 && scheduler.waiting == 0 {
 		scheduler.virtual = scheduler.latest
 	}
-	scheduler.drain.finished(now, actualCost, scheduler.waiting > 0)
+	scheduler.drain.finished(now, ticket.Request.Cost, scheduler.waiting > 0)
 }
 
 // Waiting returns how many requests wait.
@@ -146,7 +147,7 @@
 // fits reports whether the cost may be added to what is in flight. A request
 // larger than the whole capacity runs alone.
 func (scheduler *Scheduler) fits(cost float64) bool {
-	return scheduler.running == 0 || scheduler.running+cost <= scheduler.exchange.limit
+	return scheduler.inFlight == 0 || scheduler.running+cost <= scheduler.exchange.limit
 }
 
 func (scheduler *Scheduler) grant(now time.Time, ticket *Ticket) {
@@ -155,11 +156,29 @@
 	team.finish = team.start + cost/team.share()
 	scheduler.latest = max(scheduler.latest, team.finish)
 	team.running += cost
+	team.inFlight++
 	scheduler.running += cost
+	scheduler.inFlight++
 	ticket.granted = true
 	scheduler.drain.granted(now)
 }
 
+// land takes a request out of what is in flight. Sums of nothing are set to
+// zero, so that errors of rounding don't add up.
+func (scheduler *Scheduler) land(ticket *Ticket) {
+	team := ticket.team
+	team.inFlight--
+	team.running -= ticket.Request.Cost
+	if team.inFlight == 0 {
+		team.running = 0
+	}
+	scheduler.inFlight--
+	scheduler.running -= ticket.Request.Cost
+	if scheduler.inFlight == 0 {
+		scheduler.running = 0
+	}
+}
+
 func (scheduler *Scheduler) wait(ticket *Ticket) {
 	team := ticket.team
 	team.push(ticket)
@@ -215,7 +234,8 @@
 		weights += team.share()
 	}
 	rate := scheduler.drain.rate * team.share() / weights
-	return time.Duration(ahead / rate * float64(time.Second))
+	seconds := min(waitMaxSeconds, ahead/max(rate, rateMin))
+	return time.Duration(seconds * float64(time.Second))
 }
 
 func (scheduler *Scheduler) teamOf(request *Request) *team {
@@ -244,7 +264,7 @@
 		return
 	}
 	for name, team := range scheduler.teams {
-		if team.index < 0 && team.running == 0 && team.finish <= scheduler.virtual {
+		if team.index < 0 && team.inFlight == 0 && team.finish <= scheduler.virtual {
 			delete(scheduler.teams, name)
 		}
 	}
--- a/internal/coordination/admit/share.go
+++ b/internal/coordination/admit/share.go
@@ -118,13 +118,10 @@
 	total := make(map[string]Demand, len(own))
 	add := func(demands []Demand) {
 		for _, demand := range demands {
-			if demand.Units <= 0 {
-				continue
-			}
 			entry := total[demand.Team]
 			entry.Team = demand.Team
-			entry.Units += demand.Units
-			entry.Weight = max(entry.Weight, demand.Weight)
+			entry.Units += bounded(demand.Units, costMin)
+			entry.Weight = max(entry.Weight, bounded(demand.Weight, 0))
 			total[demand.Team] = entry
 		}
 	}
--- a/internal/coordination/admit/ticket.go
+++ b/internal/coordination/admit/ticket.go
@@ -56,15 +56,16 @@
 
 // team is the state of one team that has work or owes for past work.
 type team struct {
-	name    string
-	weight  float64
-	part    float64 // part of the weight that the team has at this instance
-	waiting tickets
-	queued  float64 // cost units that wait
-	running float64 // cost units in flight
-	start   float64 // virtual time at which the first waiting request may start
-	finish  float64 // virtual time at which the work granted so far ends
-	index   int     // place among the active teams, -1 when nothing waits
+	name     string
+	weight   float64
+	part     float64 // part of the weight that the team has at this instance
+	waiting  tickets
+	queued   float64 // cost units that wait
+	running  float64 // cost units in flight
+	inFlight int     // requests
+	start    float64 // virtual time at which the first waiting request may start
+	finish   float64 // virtual time at which the work granted so far ends
+	index    int     // place among the active teams, -1 when nothing waits
 }
 
 // share returns the weight against which the team's work is charged here.
