--- a/internal/coordination/order/world_test.go
+++ b/internal/coordination/order/world_test.go
@@ -182,6 +182,7 @@
 	issuer    *order.Issuer
 	grant     atomic.Pointer[lease.Grant]
 	client    *memory.Client
+	rows      atomic.Int64 // written or checked in the store
 	steps     atomic.Int64
 	pauseAt   atomic.Int64 // step at which to pause, 0 for none
 	paused    chan struct{}
@@ -251,6 +252,7 @@
 	defer process.step()
 	err := process.client.Commit(ctx, writes...)
 	if err == nil {
+		process.rows.Add(int64(len(writes)))
 		process.world.checkWriter(process, writes)
 	}
 	return err
