--- a/internal/transport/relay/attempt.go
+++ b/internal/transport/relay/attempt.go
@@ -68,17 +68,30 @@
 func (relay *Relay) try(ctx context.Context, exchange *exchange) *retry.Attempt {
 	exchange.tries++
 	view := relay.targets.View()
-	choice, err := relay.pick(view, exchange)
+	if relay.splits(view, exchange) {
+		if failure := relay.prefill(ctx, exchange, view); failure != nil {
+			return failure
+		}
+	}
+	choice, err := relay.pick(view, exchange, exchange.ask)
 	if err != nil {
 		return relay.attemptOf(ctx, exchange, retry.NotSent, err)
 	}
+	return relay.tryAt(ctx, exchange, view, choice, relay.deliver)
+}
+
+// receiver takes an answer of a target.
+type receiver func(ctx context.Context, exchange *exchange, flight *flight, answer *back.Answer) error
+
+// tryAt makes one attempt at the chosen target.
+func (relay *Relay) tryAt(ctx context.Context, exchange *exchange, view *route.View, choice route.Choice, receive receiver) *retry.Attempt {
 	exchange.ask.Exclude = append(exchange.ask.Exclude, choice.Target.ID)
 	ctx, span := relay.tracer.Start(ctx, "target", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("target", choice.Target.ID)))
 	defer span.End()
 	view.Start(choice)
 	defer choice.Done()
-	failure := relay.send(ctx, exchange, view, choice)
+	failure := relay.send(ctx, exchange, view, choice, receive)
 	relay.poison.End(exchange.fingerprint, choice.Target.ID, failure == nil)
 	if failure != nil {
 		span.RecordError(failure.Err)
@@ -87,8 +100,7 @@
 }
 
 // pick chooses a target that may run the request beside what it runs.
-func (relay *Relay) pick(view *route.View, exchange *exchange) (route.Choice, error) {
-	ask := exchange.ask
+func (relay *Relay) pick(view *route.View, exchange *exchange, ask route.Request) (route.Choice, error) {
 	for {
 		choice, err := relay.picker.Pick(view, &ask)
 		if err != nil || relay.poison.Begin(exchange.fingerprint, choice.Target.ID) {
@@ -106,7 +118,7 @@
 	first   time.Duration // until the first byte, 0 before it
 }
 
-func (relay *Relay) send(ctx context.Context, exchange *exchange, view *route.View, choice route.Choice) *retry.Attempt {
+func (relay *Relay) send(ctx context.Context, exchange *exchange, view *route.View, choice route.Choice, receive receiver) *retry.Attempt {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	flight := &flight{id: relay.sequence.Add(1), choice: choice, started: time.Now()}
@@ -124,7 +136,7 @@
 		Address:    choice.Target.Address,
 		Method:     http.MethodPost,
 		Path:       "/v1/chat/completions",
-		Header:     relay.targetHeader(ctx, exchange.caller.team.Name),
+		Header:     relay.chatHeader(ctx, exchange),
 		Body:       body,
 		Attempt:    relay.prefix + strconv.FormatUint(flight.id, 10),
 		Repeatable: true,
@@ -133,10 +145,10 @@
 		return relay.failed(ctx, exchange, flight, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if answer.Refused || answer.Status != http.StatusOK {
+	if answer.Refused || answer.Status >= http.StatusMultipleChoices {
 		return relay.refused(ctx, exchange, flight, answer)
 	}
-	if err := relay.deliver(ctx, exchange, flight, answer); err != nil {
+	if err := receive(ctx, exchange, flight, answer); err != nil {
 		return relay.failed(ctx, exchange, flight, err)
 	}
 	relay.observe(flight, health.Success)
@@ -224,15 +236,22 @@
 	relay.health.Heard(flight.choice.Target.ID, flight.id)
 	if flight.first == 0 {
 		flight.first = time.Since(flight.started)
+		flight.choice.FirstToken()
 		relay.metrics.firstByte.Observe(flight.first.Seconds())
 	}
 }
 
-// targetHeader returns the headers of a call to a target. Nothing of the
-// caller's own headers is among them but what is named here.
-func (relay *Relay) targetHeader(ctx context.Context, team string) http.Header {
+// chatHeader returns the headers of a chat call to a target. Nothing of the
+// caller's own headers is among them.
+func (relay *Relay) chatHeader(ctx context.Context, exchange *exchange) http.Header {
 	header := http.Header{"Content-Type": {"application/json"}}
-	header.Set(engine.HeaderTeam, team)
+	header.Set(engine.HeaderTeam, exchange.caller.team.Name)
+	if exchange.phase != "" {
+		header.Set(engine.HeaderPhase, string(exchange.phase))
+	}
+	if exchange.kvSource != "" {
+		header.Set(engine.HeaderKVSource, exchange.kvSource)
+	}
 	injectTrace(ctx, header)
 	return header
 }
--- a/internal/transport/relay/chat.go
+++ b/internal/transport/relay/chat.go
@@ -30,6 +30,8 @@
 	deadline    time.Time
 	w           http.ResponseWriter
 	tries       int
+	phase       note.Role // prefill while only the prompt is to be processed
+	kvSource    string    // where the prompt's KV cache is, if it was prefilled
 	progress    progress
 }
 
