--- a/internal/coordination/order/machine_test.go
+++ b/internal/coordination/order/machine_test.go
@@ -95,7 +95,10 @@
 		machine.world.targets[rapid.SampledFrom(machine.targets).Draw(t, "crashed").ID].crash()
 		machine.mu.Unlock()
 	case "store":
-		fault := memory.Fault{LoseAnswer: rapid.Bool().Draw(t, "lose"), Down: rapid.IntRange(0, 3).Draw(t, "down") == 0}
+		fault := memory.Fault{
+			LoseAnswer: rapid.Bool().Draw(t, "lose"), Down: rapid.IntRange(0, 3).Draw(t, "down") == 0,
+			Delay: time.Duration(rapid.IntRange(0, 3).Draw(t, "delay")) * time.Second,
+		}
 		synctest.Wait()
 		machine.stores[process.name] = fault
 	}
@@ -160,7 +163,7 @@
 	time.Sleep(3 * time.Second)
 	for _, target := range machine.targets {
 		result := toTarget(target)(last, "last")
-		if result.Err != nil && (target.Fences || !last.abandoned(target)) {
+		if result.Err != nil && (target.Fences || last.issuer.Blocked()[target.ID] != order.StateAbandoned) {
 			t.Fatalf("%s cannot be ordered: %v", target.ID, result.Err)
 		}
 	}
--- a/internal/coordination/order/resolve_test.go
+++ b/internal/coordination/order/resolve_test.go
@@ -1,6 +1,7 @@
 package order_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"mangopier.example/mangopier/internal/coordination/order"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/state/memory"
+	"mangopier.example/mangopier/internal/state/table"
 )
 
 // with runs a test on a paused clock with two holders, the first in charge and
@@ -147,3 +149,44 @@
 		}
 	})
 }
+
+// TestMalformedRow refuses the target of a row that cannot be read and issues
+// the other orders of the same batch.
+func TestMalformedRow(t *testing.T) {
+	for _, value := range []string{"{", `{"data-center":"kosice-1","target":{"id":"t1"},"number":1,"session":"s","state":"lost"}`, `{"data-center":"kosice-1","target":{"id":"t9"},"number":1,"session":"s","state":"closed"}`} {
+		with(t, true, true, func(world *world, act act, first, _ *process) {
+			err := world.store.Client("admin").Commit(context.Background(), table.Write{Key: "order/kosice-1/t1", Value: []byte(value)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			results := first.issuer.DoAll(context.Background(), []order.Request{
+				load(world.targets["t1"].target, "v1"), load(world.add("t2", true, true), "v1"),
+			})
+			if !code.Is(results[0].Err, code.RowMalformed) || results[1].Outcome != order.OutcomeDone {
+				t.Fatalf("got %+v", results)
+			}
+			if tickets, err := first.issuer.Tickets(context.Background(), dataCenter); err != nil || len(tickets) != 1 {
+				t.Fatalf("got %+v, %v", tickets, err)
+			}
+		})
+	}
+}
+
+// TestBatchWithAStolenRow has one row of a batch change between its reading and
+// the opening of the tickets. The other orders go out.
+func TestBatchWithAStolenRow(t *testing.T) {
+	with(t, true, true, func(world *world, _ act, first, _ *process) {
+		requests := []order.Request{load(world.targets["t1"].target, "v1"), load(world.add("t2", true, true), "v1")}
+		world.store.SetFault(func(call memory.Call) memory.Fault {
+			if call.Client == "first" && call.Method == "commit" {
+				world.store.SetFault(nil)
+				_ = world.store.Client("thief").Commit(context.Background(), table.Write{Key: "order/kosice-1/t1", Value: []byte("{")})
+			}
+			return memory.Fault{}
+		})
+		results := first.issuer.DoAll(context.Background(), requests)
+		if !code.Is(results[0].Err, code.LeaseLost) || results[1].Outcome != order.OutcomeDone {
+			t.Fatalf("got %+v", results)
+		}
+	})
+}
--- a/internal/coordination/order/slot.go
+++ b/internal/coordination/order/slot.go
@@ -113,3 +113,19 @@
 	}
 	return time.Since(slot.foundAt)
 }
+
+// Blocked returns the state of the targets whose last ticket is not closed, by
+// ID, as far as this process knows: all of them after Recover while it holds
+// the lease. They get no orders; abandoned ones should get no work either.
+func (issuer *Issuer) Blocked() map[string]State {
+	issuer.mu.Lock()
+	defer issuer.mu.Unlock()
+	blocked := map[string]State{}
+	for _, slot := range issuer.slots {
+		ticket := slot.ticket
+		if ticket.Target.ID != "" && ticket.State != StateClosed {
+			blocked[ticket.Target.ID] = ticket.State
+		}
+	}
+	return blocked
+}
--- a/internal/coordination/order/world_test.go
+++ b/internal/coordination/order/world_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"reflect"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -382,11 +381,3 @@
 	}
 	return false, nil
 }
-
-// abandoned reports whether the last ticket of a target is abandoned.
-func (process *process) abandoned(target note.Target) bool {
-	tickets, _ := process.issuer.Tickets(context.Background(), dataCenter)
-	return slices.ContainsFunc(tickets, func(ticket order.Ticket) bool {
-		return ticket.Target.ID == target.ID && ticket.State == order.StateAbandoned
-	})
-}
