Let a completed run outweigh crashes just before it

A request that shared a crash, completed a run and shared another crash within two seconds was quarantined: the earlier crash was counted again.

Removed and seen red: forgetting crashes before the completed run.

--- a/internal/coordination/poison/blame.go
+++ b/internal/coordination/poison/blame.go
@@ -100,7 +100,19 @@
 	return false
 }
 
-// clear forgets what was lost under a request that is known to be innocent.
+// acquit clears a request that completed a run. No crash before that counts
+// against it any more.
+func (tracker *Tracker) acquit(suspect *Suspect, now time.Time) {
+	tracker.clear(suspect, now)
+	for i := range tracker.crashes {
+		crash := &tracker.crashes[i]
+		crash.ran = slices.DeleteFunc(slices.Clone(crash.ran), func(fingerprint Fingerprint) bool {
+			return fingerprint == suspect.Fingerprint
+		})
+	}
+}
+
+// clear forgets what was lost under a request.
 func (tracker *Tracker) clear(suspect *Suspect, now time.Time) {
 	suspect.Cleared, suspect.Lost, suspect.Last = true, nil, now
 }
--- a/internal/coordination/poison/main_test.go
+++ b/internal/coordination/poison/main_test.go
@@ -7,8 +7,10 @@
 )
 
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
--- a/internal/coordination/poison/poison.go
+++ b/internal/coordination/poison/poison.go
@@ -110,7 +110,7 @@
 	defer tracker.mutex.Unlock()
 	tracker.leave(fingerprint, target)
 	if suspect, ok := tracker.suspects[fingerprint]; ok && completed {
-		tracker.clear(suspect, time.Now())
+		tracker.acquit(suspect, time.Now())
 	}
 }
 
--- a/internal/coordination/poison/poison_test.go
+++ b/internal/coordination/poison/poison_test.go
@@ -236,6 +236,18 @@
 	wantVerdict(t, tracker, 2, poison.Quarantined)
 }
 
+// TestCompletedRunCountsBetweenCrashes has request 2 run beside request 1 at
+// both its crashes, and complete a run in between.
+func TestCompletedRunCountsBetweenCrashes(t *testing.T) {
+	tracker := poison.New()
+	crashUnder(t, tracker, "t0", 1, 2)
+	tracker.Begin(2, "t1")
+	tracker.End(2, "t1", true)
+	crashUnder(t, tracker, "t2", 1, 2)
+	wantVerdict(t, tracker, 1, poison.Quarantined)
+	wantVerdict(t, tracker, 2, poison.Clear)
+}
+
 // TestMergeKeepsNewerClearing has a peer tell of a crash after the request has
 // completed here.
 func TestMergeKeepsNewerClearing(t *testing.T) {
