--- /dev/null
+++ b/internal/coordination/oracle/life_test.go
@@ -0,0 +1,185 @@
+package oracle_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"mangopier.example/mangopier/internal/coordination/feed"
+	"mangopier.example/mangopier/internal/coordination/gossip"
+	"mangopier.example/mangopier/internal/coordination/lease"
+	"mangopier.example/mangopier/internal/coordination/once"
+	"mangopier.example/mangopier/internal/coordination/order"
+	"mangopier.example/mangopier/internal/coordination/usage"
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/state/memory"
+)
+
+// life is one instance from its start to its end. Everything that it does to
+// its surroundings passes its gate, which a pause closes.
+type life struct {
+	world   *world
+	id      string
+	address string
+	begun   time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	client  *memory.Client
+	ends    []<-chan error
+	work    sync.WaitGroup
+
+	mu     sync.Mutex
+	resume chan struct{} // nil while it runs
+	killed chan struct{}
+
+	members *gossip.Members
+	feed    *feed.Feed
+	orders  *lease.Lease
+	duty    *lease.Lease
+	issuer  *order.Issuer
+	guard   *once.Guard
+	holder  *usage.Holder
+	meter   *usage.Meter
+	freezer *usage.Freezer
+
+	// What the model knows of the instance.
+	number  uint64    // highest note seen in force
+	excused time.Time // last moment at which it may have served an old note
+	lost    time.Time // last moment without the store
+	seen    sync.Map  // effects in the last report, by target
+}
+
+// start starts a new instance.
+func (world *world) start() *life {
+	world.mu.Lock()
+	n := len(world.lives)
+	life := &life{
+		world: world, id: fmt.Sprintf("i%d", n), address: fmt.Sprintf("10.0.0.%d:7000", n+1),
+		begun: time.Now(), lost: time.Now(), killed: make(chan struct{}),
+	}
+	life.ctx, life.cancel = context.WithCancel(context.Background())
+	life.client = world.store.Client(life.id)
+	sources := func() rand.Source { return rand.NewPCG(world.random.Uint64(), 1) }
+	life.build(sources)
+	world.lives = append(world.lives, life)
+	world.mu.Unlock()
+	life.run()
+	return life
+}
+
+func (life *life) self() gossip.Instance {
+	return gossip.Instance{ID: life.id, DataCenter: dataCenter, Address: life.address}
+}
+
+func (life *life) build(source func() rand.Source) {
+	rows := &rows{life}
+	link := &link{life}
+	life.members = gossip.New(life.self(), link, link, gossip.WithRandom(source()))
+	life.feed = feed.New(rows, feed.WithPeers(life.members), feed.WithRandom(source()))
+	life.members.Follow(life.feed)
+	life.orders = lease.New(rows, "orders/"+dataCenter, life.id, lease.WithSource(source()))
+	life.duty = lease.New(rows, "usage", life.id, lease.WithSource(source()))
+	life.issuer = order.New(dataCenter, life.id, order.Services{
+		Store: rows, Authority: &authority{life, life.orders}, Targets: &targets{life}, Platform: &platform{life}, Writers: &writers{life},
+	}, order.WithSendTimeout(sendTimeout), order.WithOutcomeTimeout(outcomeTimeout), order.WithSource(source()))
+	life.guard = once.New(rows, once.WithRandom(source()), once.WithFlushTimeout(time.Second))
+	life.buildUsage(source, rows)
+}
+
+func (life *life) run() {
+	parts := []interface {
+		Start(ctx context.Context) <-chan error
+	}{life.members, life.feed, life.orders, life.duty, life.guard, life.meter, life.freezer}
+	for _, part := range parts {
+		life.ends = append(life.ends, part.Start(life.ctx))
+	}
+	life.work.Go(life.recover)
+}
+
+// recover settles open tickets while the instance is in charge.
+func (life *life) recover() {
+	for life.ctx.Err() == nil {
+		if _, held := life.orders.Held(); held {
+			_, _ = life.issuer.Recover(life.ctx)
+		}
+		life.sleep(time.Second)
+	}
+}
+
+func (life *life) sleep(time_ time.Duration) {
+	select {
+	case <-life.ctx.Done():
+	case <-time.After(time_):
+	}
+}
+
+// gate blocks while the instance is paused and fails once it is killed.
+func (life *life) gate() error {
+	for {
+		life.mu.Lock()
+		resume := life.resume
+		life.mu.Unlock()
+		if life.dead() {
+			return code.Errorf(code.StoreDown, "%s is killed", life.id)
+		}
+		if resume == nil {
+			return nil
+		}
+		select {
+		case <-resume:
+		case <-life.killed:
+		}
+	}
+}
+
+func (life *life) dead() bool {
+	select {
+	case <-life.killed:
+		return true
+	default:
+		return false
+	}
+}
+
+func (life *life) paused() bool {
+	life.mu.Lock()
+	defer life.mu.Unlock()
+	return life.resume != nil
+}
+
+func (life *life) pause() {
+	life.mu.Lock()
+	defer life.mu.Unlock()
+	if life.resume == nil {
+		life.resume = make(chan struct{})
+	}
+}
+
+func (life *life) wake() {
+	life.mu.Lock()
+	defer life.mu.Unlock()
+	if life.resume != nil {
+		close(life.resume)
+		life.resume = nil
+	}
+}
+
+// kill ends the instance at once: nothing that it does has an effect any more.
+func (life *life) kill() {
+	life.world.mu.Lock()
+	life.world.removed[life.id] = time.Now()
+	close(life.killed)
+	life.world.mu.Unlock()
+	life.wake()
+	life.cancel()
+}
+
+// wait waits for the goroutines of a killed instance.
+func (life *life) wait() {
+	for _, end := range life.ends {
+		<-end //nolint:errcheck // a killed instance cannot store what it has
+	}
+	life.work.Wait()
+}
