--- a/internal/coordination/oracle/request_test.go
+++ b/internal/coordination/oracle/request_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"mangopier.example/mangopier/internal/coordination/feed"
 	"mangopier.example/mangopier/internal/coordination/once"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/note"
@@ -12,7 +11,7 @@
 
 // withdrawBound is the time after which no instance takes a withdrawn key,
 // but for those that the rule of the feed does not cover: see excuse.
-const withdrawBound = feed.FreshLimit + 2*time.Second
+const withdrawBound = 6 * time.Second
 
 // storeBound is the time after which an instance that reaches the store again
 // has read the newest note.
