Order capacity under the lease, and fuzz what operators and callers write

The steward asks the capacity policy each 10 s and starts, drains and releases the targets that it ordered itself; those of release notes stay. A stand-in that was stopped by an order could be closed twice, which hung; closing is done once.

--- /dev/null
+++ b/internal/protocol/conf/fuzz_test.go
@@ -0,0 +1,19 @@
+package conf_test
+
+import (
+	"testing"
+
+	"mangopier.example/mangopier/internal/protocol/conf"
+)
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte(`{"limits": {"body-bytes": -1}}`))
+	f.Add([]byte("{\"instance\": \"\xff\"}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		settings, err := conf.Parse(data)
+		if err == nil && settings.Check() != nil {
+			t.Error("accepted settings do not pass their own check")
+		}
+	})
+}
--- a/internal/transport/entry/steward.go
+++ b/internal/transport/entry/steward.go
@@ -35,6 +35,8 @@
 	wanted     map[string]note.Role
 	totals     map[string]total
 	observed   time.Time
+	capacity   *capacity
+	retiring   map[string]bool // ordered targets that are to be released
 }
 
 func newSteward(control *control, dataCenter string) *steward {
@@ -80,6 +82,9 @@
 	steward.policy = rolePolicy(steward.control.instance.settings.Policy.Roles)
 	steward.wanted = map[string]note.Role{}
 	steward.totals = map[string]total{}
+	steward.observed = time.Time{}
+	steward.capacity = newCapacity(steward.control.instance.settings.Policy.Capacity)
+	steward.retiring = map[string]bool{}
 	steward.logger.Info().Uint64("epoch", grant.Epoch).Msg("orders are in this instance's hands")
 }
 
@@ -115,6 +120,7 @@
 		steward.report(steward.issuer.DoAll(ctx, next.Requests))
 	}
 	steward.remove(ctx, catalog, seen, tickets)
+	steward.balance(ctx, catalog, seen)
 }
 
 func (steward *steward) input(catalog *note.Catalog, seen *snapshot, tickets []order.Ticket) plan.Input {
@@ -138,6 +144,9 @@
 			input.Blocked[ticket.Target.ID] = true
 		}
 	}
+	for id := range steward.retiring {
+		input.Blocked[id] = true
+	}
 	return input
 }
 
--- a/internal/transport/fakes/server.go
+++ b/internal/transport/fakes/server.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -17,6 +18,7 @@
 	http     *http.Server
 	ended    chan error
 	failure  error
+	closing  sync.Once
 }
 
 // Listen serves handler on address, which is IP:port; port 0 takes any free
@@ -41,12 +43,15 @@
 	return server.listener.Addr().String()
 }
 
-// Close closes the listener and all connections, and waits for the end.
+// Close closes the listener and all connections, and waits for the end. It may
+// be called more than once.
 func (server *Server) Close() {
-	_ = server.http.Close()
-	if err := <-server.ended; !errors.Is(err, http.ErrServerClosed) {
-		server.failure = err
-	}
+	server.closing.Do(func() {
+		_ = server.http.Close()
+		if err := <-server.ended; !errors.Is(err, http.ErrServerClosed) {
+			server.failure = err
+		}
+	})
 }
 
 // Err returns why the server ended, if not by Close.
--- a/internal/transport/lab/lab.go
+++ b/internal/transport/lab/lab.go
@@ -28,6 +28,7 @@
 	Engines     []fakes.EngineConfig
 	EngineSites []string // data center of each engine
 	CheapIDs    map[string]bool
+	MaxTargets  int // most targets in a data center; 0 orders none
 	Services    []ServicePlan
 	Routes      []note.Route
 	Teams       []note.Team
@@ -57,6 +58,9 @@
 	mu       sync.Mutex
 	servers  map[string]*fakes.Server
 	first    note.Note
+	ordered  int
+
+	orderedEngines map[string]*fakes.Engine
 }
 
 // Start brings a lab up and waits until all entry instances are ready.
@@ -67,7 +71,10 @@
 		Services: map[string]*fakes.Service{},
 		Keys:     map[string]string{},
 		servers:  map[string]*fakes.Server{},
-		plan:     plan,
+
+		orderedEngines: map[string]*fakes.Engine{},
+
+		plan: plan,
 	}
 	if err := lab.start(ctx); err != nil {
 		lab.Close()
@@ -78,6 +85,7 @@
 
 func (lab *Lab) start(ctx context.Context) error {
 	var err error
+	lab.Platform.Start, lab.Platform.Stop = lab.startOrdered, lab.stopTarget
 	if lab.platform, err = fakes.Listen(anyPort, lab.Platform.Handler()); err != nil {
 		return err
 	}
@@ -100,7 +108,7 @@
 
 func (lab *Lab) startTargets() error {
 	for _, name := range lab.plan.DataCenters {
-		lab.first.DataCenters.Set = append(lab.first.DataCenters.Set, note.DataCenter{Name: name, MaxTargets: 64})
+		lab.first.DataCenters.Set = append(lab.first.DataCenters.Set, note.DataCenter{Name: name, MaxTargets: lab.plan.MaxTargets})
 	}
 	models := map[string]string{}
 	for i, config := range lab.plan.Engines {
--- a/internal/transport/lab/plans.go
+++ b/internal/transport/lab/plans.go
@@ -16,6 +16,7 @@
 	plan := Plan{
 		DataCenters: sites,
 		Entries:     3,
+		MaxTargets:  6,
 		Teams: []note.Team{
 			{Name: "press", Weight: 2}, {Name: "council", Weight: 1}, {Name: "guides", Weight: 1},
 		},
