--- a/internal/coordination/usage/copy.go
+++ b/internal/coordination/usage/copy.go
@@ -8,6 +8,9 @@
 	"mangopier.example/mangopier/internal/protocol/code"
 )
 
+// retryShare is how many times a worker tries again within the copy timeout.
+const retryShare = 8
+
 // Start copies what Record counts until ctx ends. The channel gives nil when
 // all copies have ended.
 func (meter *Meter) Start(ctx context.Context) <-chan error {
@@ -59,7 +62,10 @@
 // wait for it. A replica that does not have all counts gets them then.
 func (meter *Meter) copyRound(ctx context.Context) {
 	holder, whole := meter.copyChanges(ctx)
-	if holder != "" && !whole {
+	switch {
+	case holder == "":
+		pause(ctx, meter.jitter(meter.settings.copyTimeout/retryShare))
+	case !whole:
 		meter.follow(ctx, holder)
 	}
 }
@@ -67,15 +73,15 @@
 // copyChanges returns the replica that took the changes, and whether that
 // replica has all earlier ones.
 func (meter *Meter) copyChanges(ctx context.Context) (string, bool) {
-	meter.path.RLock()
-	defer meter.path.RUnlock()
+	meter.gate.enter()
+	defer meter.gate.leave()
 	round, batches, expected := meter.beginRound()
 	holder, err := meter.place(ctx, batches)
+	whole := err == nil && holder == expected
+	meter.endRound(round, batches, whole)
 	round.err = err
 	close(round.done)
 	meter.degraded.Store(err != nil)
-	whole := err == nil && holder == expected
-	meter.endRound(round, batches, whole)
 	return holder, whole
 }
 
@@ -162,8 +168,8 @@
 // follow gives a new holder all counts that are not settled, since the one
 // before it may be lost. No other copy is on its way meanwhile.
 func (meter *Meter) follow(ctx context.Context, holder string) {
-	meter.path.Lock()
-	defer meter.path.Unlock()
+	meter.gate.enterAlone()
+	defer meter.gate.leaveAlone()
 	if meter.Status().Holder == holder {
 		return
 	}
@@ -182,37 +188,56 @@
 	}
 }
 
-// Handoff ends all windows and gives their final figures to a replica, so that
-// the instance can end. It tries until ctx ends. Call it after the last answer.
+// Handoff ends the current and the next window, and gives the final figures of
+// all windows, and the copies of WithHolder, to two replicas that answer with
+// different names, or to one if the Meter has no fallback. The instance can end
+// then. It tries until ctx ends. Call it after the last answer.
 func (meter *Meter) Handoff(ctx context.Context) error {
-	meter.close(meter.current.Load().window)
-	for {
-		batches := meter.closed()
-		_, err := meter.place(ctx, batches)
-		if err == nil {
-			return nil
+	last := meter.current.Load().window + 1
+	meter.close(last)
+	batches := meter.finals(last)
+	if meter.settings.holder != nil {
+		batches = append(batches, meter.settings.holder.copies()...)
+	}
+	holders := map[string]bool{}
+	for len(holders) < min(2, len(meter.replicas)) {
+		err := meter.handoffOnce(ctx, batches, holders)
+		if ctx.Err() != nil {
+			return code.Wrap(errors.Join(ctx.Err(), err), code.WriteUnknown, "the figures were not handed off")
 		}
-		timer := time.NewTimer(meter.jitter(meter.settings.copyTimeout))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return err
+		if err != nil {
+			pause(ctx, meter.jitter(meter.settings.copyTimeout))
 		}
 	}
+	return nil
 }
 
-// closed returns the final batches of all windows but the one that was opened
-// by closing them.
-func (meter *Meter) closed() []Batch {
-	current := meter.current.Load().window
-	var batches []Batch
-	for _, tally := range meter.unsettled() {
-		if tally.window < current {
-			batches = append(batches, meter.final(tally.window, tally))
+func (meter *Meter) handoffOnce(ctx context.Context, batches []Batch, holders map[string]bool) error {
+	var errs []error
+	for _, replica := range meter.replicas {
+		ctx, cancel := context.WithTimeout(ctx, meter.settings.copyTimeout)
+		holder, err := replica.Copy(ctx, batches)
+		cancel()
+		if err != nil {
+			errs = append(errs, err)
+			continue
 		}
+		if holders[holder] {
+			errs = append(errs, code.Errorf(code.Internal, "two replicas are the same one"))
+		}
+		holders[holder] = true
+	}
+	return errors.Join(errs...)
+}
+
+// pause waits for a time, or until ctx ends.
+func pause(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return batches
 }
 
 func (meter *Meter) jitter(delay time.Duration) time.Duration {
--- a/internal/coordination/usage/fallback.go
+++ b/internal/coordination/usage/fallback.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"strings"
-	"sync"
 	"time"
 
 	"mangopier.example/mangopier/internal/protocol/code"
@@ -29,20 +28,20 @@
 	rows     Rows
 	interval time.Duration
 
-	mu   sync.Mutex
+	turn chan struct{} // held by the copy that writes
 	last time.Time
 }
 
 // NewTableCopy returns a TableCopy that writes at most once per interval.
 func NewTableCopy(rows Rows, interval time.Duration) *TableCopy {
-	return &TableCopy{rows: rows, interval: interval}
+	return &TableCopy{rows: rows, interval: interval, turn: make(chan struct{}, 1)}
 }
 
 // Copy writes batches into the table in one transaction. Errors have
 // code.StoreDown within the interval, and the codes of table.Table.
 func (copies *TableCopy) Copy(ctx context.Context, batches []Batch) (string, error) {
-	copies.mu.Lock()
-	defer copies.mu.Unlock()
+	copies.turn <- struct{}{}
+	defer func() { <-copies.turn }()
 	if time.Since(copies.last) < copies.interval {
 		return "", code.Errorf(code.StoreDown, "the table took a copy less than %v ago", copies.interval)
 	}
--- a/internal/coordination/usage/fault_test.go
+++ b/internal/coordination/usage/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -41,9 +42,10 @@
 	source   usage.Source
 	pick     func(step int) fault
 
-	mu    sync.Mutex
-	count int
-	dead  bool
+	mu      sync.Mutex
+	count   int
+	dead    bool
+	retired atomic.Bool // another instance has the duty
 }
 
 func (steps *steps) do(ctx context.Context, call func(context.Context) error) error {
@@ -77,6 +79,12 @@
 	return call(context.WithoutCancel(ctx))
 }
 
+func (steps *steps) killed() bool {
+	steps.mu.Lock()
+	defer steps.mu.Unlock()
+	return steps.dead
+}
+
 func (steps *steps) Get(ctx context.Context, key string) (row table.Row, err error) {
 	err = steps.do(ctx, func(ctx context.Context) error {
 		row, err = steps.Client.Get(ctx, key)
@@ -86,7 +94,15 @@
 }
 
 func (steps *steps) Commit(ctx context.Context, writes ...table.Write) error {
-	return steps.do(ctx, func(ctx context.Context) error { return steps.Client.Commit(ctx, writes...) })
+	return steps.do(ctx, func(ctx context.Context) error {
+		err := steps.Client.Commit(ctx, writes...)
+		opens := strings.HasPrefix(writes[0].Key, "usage/ticket/") && strings.Contains(string(writes[0].Value), `"open":true`)
+		opens = opens && !strings.Contains(string(writes[0].Value), `"writer":""`)
+		if err == nil && steps.retired.Load() && (opens || strings.HasPrefix(writes[0].Key, "usage/window/")) {
+			steps.platform.fail(fmt.Errorf("%s wrote %s without the duty", steps.name, writes[0].Key))
+		}
+		return err
+	})
 }
 
 func (steps *steps) Put(ctx context.Context, key string, data []byte) error {
@@ -102,7 +118,11 @@
 }
 
 func (steps *steps) Report(ctx context.Context, report usage.Report) error {
-	return steps.do(ctx, func(context.Context) error { return steps.platform.take(steps.name, report) })
+	err := steps.do(ctx, func(context.Context) error { return steps.platform.take(steps.name, report) })
+	if err == nil {
+		steps.platform.answered(steps.name, report)
+	}
+	return err
 }
 
 // usageInterface takes reports and finds those that differ.
@@ -110,9 +130,26 @@
 	mu      sync.Mutex
 	reports []usage.Report // in the order of their numbers
 	senders map[uint64]map[string]bool
+	known   map[string]bool // sender and number of the reports whose answer arrived
 	broken  error
 }
 
+func (platform *usageInterface) fail(err error) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	platform.broken = err
+}
+
+func (platform *usageInterface) answered(sender string, report usage.Report) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	key := fmt.Sprint(sender, report.Number)
+	if platform.known[key] {
+		platform.broken = fmt.Errorf("%s sent report %d again after its answer", sender, report.Number)
+	}
+	platform.known[key] = true
+}
+
 func (platform *usageInterface) take(sender string, report usage.Report) error {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
@@ -165,7 +202,8 @@
 
 func faultAtStep(t *testing.T, kind fault, step int, honest, waits bool) {
 	ctx, cancel := context.WithCancel(context.Background())
-	store, platform, source := memory.New(), &usageInterface{senders: map[uint64]map[string]bool{}}, growing()
+	store, source := memory.New(), growing()
+	platform := &usageInterface{senders: map[uint64]map[string]bool{}, known: map[string]bool{}}
 	a := &steps{Client: store.Client("a"), name: "a", platform: platform, source: source, pick: func(n int) fault {
 		if n == step {
 			return kind
@@ -173,27 +211,34 @@
 		return none
 	}}
 	b := &steps{Client: store.Client("b"), name: "b", platform: platform, source: source, pick: func(int) fault { return none }}
-	opts := []usage.Option{usage.WithInlineBytes(100)}
+	opts := []usage.Option{usage.WithInlineBytes(100), usage.WithPoll(10 * time.Second)}
 	if waits {
 		opts = append(opts, usage.WithWriterGone(func(context.Context, string) (bool, error) {
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			return a.dead, nil
+			return a.killed(), nil
 		}))
 	}
 	dutyA := lead(t, a.Client)
 	endA := usage.NewFreezer("a", a, a, a, dutyA, opts...).Start(ctx)
 	time.Sleep(3 * time.Minute)
 	dutyA.held.Store(!honest)
-	endB := usage.NewFreezer("b", b, b, b, lead(t, b.Client), opts...).Start(ctx)
-	time.Sleep(9 * time.Minute)
+	dutyB := lead(t, b.Client)
+	a.retired.Store(true)
+	endB := usage.NewFreezer("b", b, b, b, dutyB, opts...).Start(ctx)
+	time.Sleep(9*time.Minute + 30*time.Second)
+	if !a.killed() {
+		a.retired.Store(false)
+		b.retired.Store(true)
+		dutyB.held.Store(false)
+		dutyA.take(t, a.Client)
+	}
+	time.Sleep(4 * time.Minute)
 	cancel()
-	if err := errors.Join(<-endA, <-endB, platform.broken); err != nil {
-		t.Fatal(err)
+	if err := errors.Join(<-endA, <-endB); err != nil || platform.broken != nil {
+		t.Fatal(err, platform.broken)
 	}
-	least := 11
+	least := 15
 	if step < 2 {
-		least = 8 // a may never have written the head from which windows are frozen
+		least = 12 // a may never have written the head from which windows are frozen
 	}
 	checkReports(t, platform, least)
 	for number, senders := range platform.senders {
--- a/internal/coordination/usage/freezer_test.go
+++ b/internal/coordination/usage/freezer_test.go
@@ -33,17 +33,25 @@
 
 // duty is a lease that is held while its row has the version.
 type duty struct {
-	version uint64
+	version atomic.Uint64
 	held    atomic.Bool
 }
 
 func (duty *duty) Check() table.Write {
-	return table.Write{Key: "lease", Version: duty.version, CheckOnly: true}
+	return table.Write{Key: "lease", Version: duty.version.Load(), CheckOnly: true}
 }
 
 func (duty *duty) Held() bool { return duty.held.Load() }
 
 func lead(t *testing.T, client *memory.Client) *duty {
+	t.Helper()
+	duty := &duty{}
+	duty.take(t, client)
+	return duty
+}
+
+// take gives the duty a new lease, which ends that of any other.
+func (duty *duty) take(t *testing.T, client *memory.Client) {
 	t.Helper()
 	ctx := context.Background()
 	row, err := client.Get(ctx, "lease")
@@ -57,9 +65,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	duty := &duty{version: row.Version}
+	duty.version.Store(row.Version)
 	duty.held.Store(true)
-	return duty
 }
 
 type sourceFunc func(ask usage.Ask) ([]usage.Batch, []string, error)
--- a/internal/coordination/usage/holder.go
+++ b/internal/coordination/usage/holder.go
@@ -82,6 +82,19 @@
 	return batches
 }
 
+// copies returns all that the Holder keeps, for another one.
+func (holder *Holder) copies() []Batch {
+	holder.mu.Lock()
+	defer holder.mu.Unlock()
+	var batches []Batch
+	for _, figures := range holder.held {
+		batch := figures.whole()
+		batch.Holder = ""
+		batches = append(batches, batch)
+	}
+	return batches
+}
+
 // Status returns what the Holder keeps.
 func (holder *Holder) Status() HolderStatus {
 	holder.mu.Lock()
--- a/internal/coordination/usage/meter.go
+++ b/internal/coordination/usage/meter.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,7 +31,7 @@
 	sequence atomic.Uint64
 	degraded atomic.Bool
 
-	path     sync.RWMutex // held for reading by each copy, for writing by a change of holder
+	gate     gate
 	progress progress
 
 	mu      sync.Mutex
@@ -73,6 +72,7 @@
 		metrics:  newMeterMetrics(settings.registerer),
 		wake:     make(chan struct{}, 1),
 		tallies:  map[Window]*tally{},
+		gate:     newGate(settings.workers),
 		progress: newProgress(),
 		random:   random,
 	}
@@ -82,8 +82,8 @@
 }
 
 // Record counts a line in the window of now, and waits until a copy that holds
-// it is confirmed, at most for the copy timeout. Call it before the final bytes
-// of the answer are sent. An error means that no copy was confirmed, with
+// it is confirmed, or for the copy timeout. Call it before the final bytes of
+// the answer are sent, with a context that ends only when the caller is gone. An error means that no copy was confirmed, with
 // code.WriteUnknown, or that the line is negative, with code.Internal; the
 // answer is to be delivered all the same.
 func (meter *Meter) Record(ctx context.Context, line Line) error {
@@ -91,16 +91,25 @@
 		return code.Errorf(code.Internal, "a line of usage is negative")
 	}
 	meter.count(line)
-	round := meter.pending.Load()
-	meter.signal()
 	timer := time.NewTimer(meter.settings.copyTimeout)
 	defer timer.Stop()
-	select {
-	case <-round.done:
-		return round.err
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		round := meter.pending.Load()
+		meter.signal()
+		select {
+		case <-round.done:
+			if round.err == nil {
+				return nil
+			}
+		case <-timer.C:
+			return meter.uncopied()
+		case <-ctx.Done():
+			return meter.uncopied()
+		}
 	}
+}
+
+func (meter *Meter) uncopied() error {
 	meter.metrics.uncopied.Inc()
 	return code.Errorf(code.WriteUnknown, "no copy of a line of usage was confirmed in time")
 }
@@ -136,22 +145,27 @@
 func (meter *Meter) Collect(ask Ask) []Batch {
 	last := min(ask.Window, meter.settings.schedule.At(time.Now())+1)
 	meter.close(last)
-	meter.mu.Lock()
-	defer meter.mu.Unlock()
 	if through, ok := ask.through()[meter.origin]; ok {
 		meter.forget(through)
 	}
-	var batches []Batch
-	for window, tally := range meter.tallies {
-		if window <= last {
-			batches = append(batches, meter.final(window, tally))
+	return meter.finals(last)
+}
+
+// finals returns the final figures of all windows up to last, with an empty
+// batch for last if nothing was counted in it.
+func (meter *Meter) finals(last Window) []Batch {
+	batches := []Batch{meter.final(last, newTally(last))}
+	for _, tally := range meter.unsettled() {
+		if tally.window <= last {
+			batches = append(batches, meter.final(tally.window, tally))
 		}
 	}
-	slices.SortFunc(batches, compareBatches)
-	return batches
+	return Merge(batches)
 }
 
 func (meter *Meter) forget(through Window) {
+	meter.mu.Lock()
+	defer meter.mu.Unlock()
 	for window := range meter.tallies {
 		if window <= through {
 			delete(meter.tallies, window)
--- a/internal/coordination/usage/missing.go
+++ b/internal/coordination/usage/missing.go
@@ -8,12 +8,18 @@
 // Member is an origin that may have counted in a window.
 type Member struct {
 	Origin
-	Seen time.Time // last sign of life, as peers or the platform's list tell
+	Since time.Time // first sign of life, zero if not known
+	Seen  time.Time // last sign of life, as peers or the platform's list tell
+}
+
+// in reports whether the member may have counted in a window.
+func (member Member) in(schedule Schedule, window Window) bool {
+	return member.Since.Before(schedule.End(window)) && !member.Seen.Before(schedule.Start(window))
 }
 
 // Missing returns the instances whose figures of a window may be short: those
-// without final figures whose copies end more than slack before the end of the
-// window or their last sign of life, whichever is earlier. A Source uses it to
+// without final figures whose copies end before the end of the window, and more
+// than slack before their last sign of life. A Source uses it to
 // tell which copies stand in for their origins.
 //
 // A Meter delivers an answer without a copy only after the copy timeout, so a
@@ -28,14 +34,14 @@
 	}
 	var missing []string
 	for _, member := range members {
-		if final[member.Origin] || member.Seen.Before(schedule.Start(window)) {
+		if final[member.Origin] || !member.in(schedule, window) {
 			continue
 		}
-		until := member.Seen
+		until := member.Seen.Add(-slack)
 		if end := schedule.End(window); end.Before(until) {
 			until = end
 		}
-		if copied[member.Origin] < until.Add(-slack).UnixMilli() {
+		if copied[member.Origin] < until.UnixMilli() {
 			missing = append(missing, member.Instance)
 		}
 	}
--- a/internal/coordination/usage/option.go
+++ b/internal/coordination/usage/option.go
@@ -19,6 +19,7 @@
 	source        rand.Source
 	schedule      Schedule
 	fallbacks     []Replica
+	holder        *Holder
 	copyTimeout   time.Duration
 	heartbeat     time.Duration
 	workers       int
@@ -77,12 +78,19 @@
 	return func(settings *settings) { settings.schedule.Length = length }
 }
 
-// WithFallbacks gives a Meter more replicas, tried in order when one before
+// WithFallbacks gives a Meter more replicas, which have to lead to other
+// instances than the ones before them. They are tried in order when one before
 // them fails.
 func WithFallbacks(replicas ...Replica) Option {
 	return func(settings *settings) { settings.fallbacks = replicas }
 }
 
+// WithHolder makes the hand-off of a Meter pass on the copies that the instance
+// holds for others.
+func WithHolder(holder *Holder) Option {
+	return func(settings *settings) { settings.holder = holder }
+}
+
 // WithCopyTimeout bounds the time that Record waits for a copy.
 func WithCopyTimeout(timeout time.Duration) Option {
 	return func(settings *settings) { settings.copyTimeout = timeout }
