Measure the spread of notes with loads in the messages

Messages now carry the loads of eight teams and twelve targets.

go test ./internal/coordination/feed -count=1 -run TestSpread -v \ -args -instances=300

--- a/internal/coordination/feed/fleet_test.go
+++ b/internal/coordination/feed/fleet_test.go
@@ -73,6 +73,7 @@
 	members := gossip.New(self, link, link, gossip.WithRandom(rand.NewPCG(1, seed)))
 	notes := feed.New(fleet.store.Client(id), feed.WithPeers(members), feed.WithRandom(rand.NewPCG(2, seed)))
 	members.Follow(notes)
+	members.PublishLoad(load())
 	first, second := members.Start(ctx), notes.Start(ctx)
 	started := &node{id: id, feed: notes, members: members, stop: func() {
 		cancel()
@@ -85,6 +86,18 @@
 	fleet.nodes[id] = started
 }
 
+// load is that of an instance with eight teams and twelve targets.
+func load() gossip.Load {
+	var load gossip.Load
+	for i := range 12 {
+		load.Targets = append(load.Targets, gossip.TargetLoad{Target: fmt.Sprint("target-", i), Cost: 1, InFlight: 1})
+	}
+	for i := range 8 {
+		load.Teams = append(load.Teams, gossip.TeamLoad{Team: fmt.Sprint("team-", i), Rate: 1, Queued: 1})
+	}
+	return load
+}
+
 func (fleet *fleet) kill(id string) {
 	fleet.mu.Lock()
 	killed := fleet.nodes[id]
