Count the age of a report from before the call

Likewise the state after a lost answer now has to be younger than the end of the sending, not its start.

TestReportBeforeAPauseIsOld pins it; seen red with the age counted from the time of the judgement.

--- a/internal/coordination/order/issue.go
+++ b/internal/coordination/order/issue.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/note"
 	"mangopier.example/mangopier/internal/state/table"
 )
 
@@ -115,11 +116,11 @@
 
 func (issuer *Issuer) checkReport(ctx context.Context, attempt *attempt) {
 	target := attempt.request.Target
-	report, err := issuer.report(ctx, attempt.request)
+	report, since, err := issuer.report(ctx, target)
 	switch {
 	case err != nil:
 		attempt.fail(err)
-	case !issuer.fresh(attempt.slot, report):
+	case !issuer.fresh(attempt.slot, since):
 		attempt.fail(code.Errorf(code.OrderOpen, "the report of %s is older than its last order", target.ID))
 	case report.Satisfies(attempt.request.Order):
 		attempt.end(OutcomeSatisfied)
@@ -129,10 +130,15 @@
 	attempt.before = report.Boot
 }
 
-func (issuer *Issuer) report(ctx context.Context, request Request) (Report, error) {
+// report returns the state of a target and the earliest time at which that was
+// its state. The age counts from before the call, as the process may be paused
+// after it.
+func (issuer *Issuer) report(ctx context.Context, target note.Target) (Report, time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	return issuer.services.Targets.Report(ctx, request.Target)
+	asked := time.Now()
+	report, err := issuer.services.Targets.Report(ctx, target)
+	return report, asked.Add(-report.Age), err
 }
 
 // open writes the tickets together with the check of the lease.
--- a/internal/coordination/order/resolve.go
+++ b/internal/coordination/order/resolve.go
@@ -31,13 +31,12 @@
 // that the order's connection led to has ended, or if it shows the effect and
 // did not do so before the order.
 func (issuer *Issuer) outcomeFromReport(ctx context.Context, slot *slot, ticket Ticket) Outcome {
-	report, err := issuer.report(ctx, Request{Target: ticket.Target})
+	report, since, err := issuer.report(ctx, ticket.Target)
 	if err != nil {
 		return ""
 	}
 	sent := issuer.departureOf(slot)
-	read := time.Now().Add(-report.Age)
-	if read.Before(sent.at) || report.Boot == "" || sent.boot == "" {
+	if since.Before(sent.at) || report.Boot == "" || sent.boot == "" {
 		return ""
 	}
 	if report.Boot != sent.boot {
@@ -75,7 +74,7 @@
 }
 
 func (issuer *Issuer) fenced(ctx context.Context, ticket Ticket) bool {
-	report, err := issuer.report(ctx, Request{Target: ticket.Target})
+	report, _, err := issuer.report(ctx, ticket.Target)
 	return err == nil && report.Number >= ticket.Number
 }
 
--- a/internal/coordination/order/resolve_test.go
+++ b/internal/coordination/order/resolve_test.go
@@ -75,6 +75,26 @@
 	}
 }
 
+// TestReportBeforeAPauseIsOld pauses a holder at every step between two orders
+// for longer than reports lag.
+func TestReportBeforeAPauseIsOld(t *testing.T) {
+	for pauseAt := int64(1); pauseAt < 16; pauseAt++ {
+		with(t, false, true, func(world *world, act act, first, _ *process) {
+			world.lag = 2 * time.Second
+			first.recover()
+			time.Sleep(3 * time.Second)
+			if result := act(first, "v1"); result.Err != nil {
+				t.Fatal(result.Err)
+			}
+			if paused, done := first.background(pauseAt, func() { act(first, "v2") }); paused {
+				time.Sleep(3 * time.Second)
+				close(first.resume)
+				<-done
+			}
+		})
+	}
+}
+
 // TestInheritedTicketCountsAsSent has a successor whose fence ticket is written
 // but who never learns that, and so never sends the fence.
 func TestInheritedTicketCountsAsSent(t *testing.T) {
--- a/internal/coordination/order/slot.go
+++ b/internal/coordination/order/slot.go
@@ -24,9 +24,9 @@
 // departure is what is known of the last order that may have left.
 type departure struct {
 	number uint64
-	at     time.Time
-	before string // boot of the target in the report before
-	boot   string // boot of the target on the order's connection
+	at     time.Time // when the answer came or the wait for it ended
+	before string    // boot of the target in the report before
+	boot   string    // boot of the target on the order's connection
 }
 
 // claim reserves a row for one call.
@@ -75,10 +75,12 @@
 	return nil
 }
 
+// arrived records the end of a departure.
 func (issuer *Issuer) arrived(slot *slot, boot string) {
 	issuer.mu.Lock()
 	defer issuer.mu.Unlock()
 	slot.sent.boot = boot
+	slot.sent.at = time.Now()
 }
 
 func (issuer *Issuer) departureOf(slot *slot) departure {
@@ -94,13 +96,12 @@
 	slot.settled = time.Now()
 }
 
-// fresh reports whether a report read now shows the effect of all orders that
-// were settled before, whoever sent them.
-func (issuer *Issuer) fresh(slot *slot, report Report) bool {
+// fresh reports whether a state of the time since shows the effect of all
+// orders that were settled before, whoever sent them.
+func (issuer *Issuer) fresh(slot *slot, since time.Time) bool {
 	issuer.mu.Lock()
 	defer issuer.mu.Unlock()
-	read := time.Now().Add(-report.Age)
-	return !read.Before(slot.settled) && !read.Before(issuer.began)
+	return !since.Before(slot.settled) && !since.Before(issuer.began)
 }
 
 // seenFor returns for how long this process has known an open ticket.
