--- a/internal/transport/lab/ordered.go
+++ b/internal/transport/lab/ordered.go
@@ -47,3 +47,10 @@
 		go server.Close()
 	}
 }
+
+// TargetAddress returns the IP:port of a target.
+func (lab *Lab) TargetAddress(id string) string {
+	lab.mu.Lock()
+	defer lab.mu.Unlock()
+	return lab.servers[id].Address()
+}
