Serve the neighbors of a request that crashes its engine

A test with 12 streams beside a crashing request showed two causes of cut answers. A suspect that must run alone found every engine taken and ended in no-target: it now waits until one is free. And the budget of ten retries was spent by one engine's batch: resumed answers have a budget of their own, 256 at once.

Also: a target that is withdrawn or reclaimed no longer makes suspects, the services' queue no longer counts demand for engines, and health compares first bytes with the expected delay.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -22,7 +22,6 @@
 // Event is one observation of a target.
 type Event struct {
 	Target    string
-	Group     string // not used; the target's group is that of its Member
 	Outcome   Outcome
 	FirstByte time.Duration // zero when no byte came
 	Expected  time.Duration // expected delay until the first byte, zero when unknown
--- a/internal/coordination/retry/policy.go
+++ b/internal/coordination/retry/policy.go
@@ -6,11 +6,15 @@
 )
 
 const (
-	triesDefault     = 3
-	shareDefault     = 0.10
-	hedgeDefault     = 0.02
-	floorDefault     = 0.2 // tries per second
-	limitDefault     = 10.0
+	triesDefault = 3
+	shareDefault = 0.10
+	hedgeDefault = 0.02
+	floorDefault = 0.2 // tries per second
+	limitDefault = 10.0
+	// An engine may crash under its whole batch, whose answers then go on at
+	// other engines all at once.
+	resumeShare      = 0.5
+	resumeLimit      = 256.0
 	backoffFirst     = 5 * time.Millisecond
 	backoffMax       = 200 * time.Millisecond
 	hedgeDelayFactor = 2 // on the expected time to the first byte
@@ -22,6 +26,7 @@
 	tries   int
 	random  func() float64
 	retries *Budget
+	resumes *Budget
 	hedges  *Budget
 }
 
@@ -55,6 +60,7 @@
 		tries:   triesDefault,
 		random:  rand.Float64,
 		retries: NewBudget(shareDefault, floorDefault, limitDefault),
+		resumes: NewBudget(resumeShare, floorDefault, resumeLimit),
 		hedges:  NewBudget(hedgeDefault, 0, limitDefault),
 	}
 	for _, opt := range opts {
@@ -67,6 +73,7 @@
 // that is sent for the first time.
 func (policy *Policy) Fresh() {
 	policy.retries.Fresh()
+	policy.resumes.Fresh()
 	policy.hedges.Fresh()
 }
 
@@ -122,11 +129,19 @@
 	return policy.hedges.Spend(now)
 }
 
-// allows spends the budget of retries. A retry after an attempt that reached
+// allows spends the budget of retries, or that of resumed answers, each of
+// which takes the place of work that its target has lost. A retry after an attempt that reached
 // no target is free, as it puts no more load on the targets than the request
 // itself.
 func (policy *Policy) allows(now time.Time, attempt *Attempt) bool {
-	return attempt.State == NotSent || policy.retries.Spend(now)
+	switch {
+	case attempt.State == NotSent:
+		return true
+	case attempt.Delivered:
+		return policy.resumes.Spend(now)
+	default:
+		return policy.retries.Spend(now)
+	}
 }
 
 // backoff returns a jittered delay. The first retry goes out at once, as it
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -232,3 +232,17 @@
 		}
 	}
 }
+
+func TestAWholeBatchIsResumed(t *testing.T) {
+	policy := retry.New()
+	resumed := 0
+	for range 1000 {
+		decision := policy.Decide(retry.Attempt{State: retry.Ran, Tries: 1, Repeatable: true, Delivered: true, Resumable: true})
+		if decision.Action == retry.Resume {
+			resumed++
+		}
+	}
+	if resumed < 256 || resumed > 300 {
+		t.Fatalf("%d of 1000 answers were resumed at once", resumed)
+	}
+}
--- a/internal/transport/entry/exchange.go
+++ b/internal/transport/entry/exchange.go
@@ -68,10 +68,13 @@
 		}
 	}
 	members := watcher.instance.members.Count()
-	for _, admitter := range []admit.Admitter{watcher.instance.queues.engines, watcher.instance.queues.services} {
-		if queue, ok := admitter.(*admit.Queue); ok {
-			queue.Exchange(members, heard)
-		}
+	if queue, ok := watcher.instance.queues.engines.(*admit.Queue); ok {
+		queue.Exchange(members, heard)
+	}
+	// Peers tell their demand for engines only; of the services each instance
+	// takes its even part.
+	if queue, ok := watcher.instance.queues.services.(*admit.Queue); ok {
+		queue.Exchange(members, nil)
 	}
 }
 
--- a/internal/transport/entry/watcher.go
+++ b/internal/transport/entry/watcher.go
@@ -160,6 +160,7 @@
 	var targets []route.Target
 	var members []health.Member
 	var plain []note.Target
+	going := map[string]bool{}
 	for id, target := range known {
 		current := watcher.current(target.Target)
 		poll := watcher.polls[id]
@@ -169,10 +170,11 @@
 		targets = append(targets, route.Target{Target: current, Leaving: leaving})
 		members = append(members, health.Member{Target: id, Group: groupOf(current)})
 		plain = append(plain, current)
+		going[id] = withdrawn || target.Life == infra.Leaving
 	}
 	watcher.instance.targets.SetTargets(targets)
 	watcher.instance.health.SetMembers(members)
-	watcher.instance.relay.SetRates(plain)
+	watcher.instance.relay.SetTargets(plain, going)
 	watcher.setCapacity(plain)
 	watcher.publish()
 	watcher.count.Store(int64(len(targets)))
--- a/internal/transport/lab/caller_test.go
+++ b/internal/transport/lab/caller_test.go
@@ -205,3 +205,32 @@
 		return ask(ctx, running, 1, "council", body).code == int(code.RequestQuarantined)
 	})
 }
+
+func TestNeighborsOfACrashingRequestAreServed(t *testing.T) {
+	running := start(t, func(plan *lab.Plan) {
+		for i := range plan.Engines {
+			plan.Engines[i].DecodeTPS = 200
+		}
+	})
+	ctx := context.Background()
+	const neighbors = 12
+	results := make(chan answer, neighbors)
+	for i := range neighbors {
+		body := chatBody(strings.Repeat("page ", i+1), 60, true)
+		want := wantText(t, body)
+		go func() {
+			got := ask(ctx, running, 0, "press", body)
+			if got.done && got.text != want {
+				got.failure = "another text"
+			}
+			results <- got
+		}()
+	}
+	eventually(t, "the neighbors", func() bool { return runningAnswers(running) == neighbors })
+	ask(ctx, running, 0, "council", chatBody(fakes.CrashMark, 5, true))
+	for range neighbors {
+		if got := <-results; !got.done || got.failure != "" {
+			t.Errorf("a neighbor was not served: %+v", got)
+		}
+	}
+}
--- a/internal/transport/relay/attempt.go
+++ b/internal/transport/relay/attempt.go
@@ -11,12 +11,12 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"mangopier.example/mangopier/internal/coordination/health"
+	"mangopier.example/mangopier/internal/coordination/poison"
 	"mangopier.example/mangopier/internal/coordination/retry"
 	"mangopier.example/mangopier/internal/coordination/route"
 	"mangopier.example/mangopier/internal/protocol/chat"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/engine"
-	"mangopier.example/mangopier/internal/protocol/note"
 	"mangopier.example/mangopier/internal/transport/back"
 	"mangopier.example/mangopier/internal/transport/front"
 )
@@ -73,7 +73,7 @@
 			return failure
 		}
 	}
-	choice, err := relay.pick(view, exchange, exchange.ask)
+	choice, err := relay.pick(ctx, exchange, exchange.ask)
 	if err != nil {
 		return relay.attemptOf(ctx, exchange, retry.NotSent, err)
 	}
@@ -99,13 +99,36 @@
 	return failure
 }
 
-// pick chooses a target that may run the request beside what it runs.
-func (relay *Relay) pick(view *route.View, exchange *exchange, ask route.Request) (route.Choice, error) {
+// pick chooses a target that may run the request beside what it runs. A
+// request that has to run alone waits until one is free of other suspects.
+func (relay *Relay) pick(ctx context.Context, exchange *exchange, ask route.Request) (route.Choice, error) {
+	for {
+		freed := relay.poison.Freed()
+		choice, busy, err := relay.pickFree(exchange, ask)
+		if err == nil || !busy {
+			return choice, err
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return choice, err
+		}
+	}
+}
+
+// pickFree also reports whether a target was passed over for what it runs.
+func (relay *Relay) pickFree(exchange *exchange, ask route.Request) (route.Choice, bool, error) {
+	view := relay.targets.View()
+	busy := false
 	for {
 		choice, err := relay.picker.Pick(view, &ask)
 		if err != nil || relay.poison.Begin(exchange.fingerprint, choice.Target.ID) {
-			return choice, err
+			return choice, busy, err
 		}
+		if relay.poison.Check(exchange.fingerprint) == poison.Quarantined {
+			return choice, false, code.Errorf(code.RequestQuarantined, "targets crashed under this request")
+		}
+		busy = true
 		ask.Exclude = append(ask.Exclude[:len(ask.Exclude):len(ask.Exclude)], choice.Target.ID)
 	}
 }
@@ -187,7 +210,7 @@
 		return attempt
 	}
 	relay.observe(flight, health.Failure)
-	if state != retry.NotSent && !attempt.Timeout {
+	if state != retry.NotSent && !attempt.Timeout && !relay.expected(flight.choice.Target.ID) {
 		for range relay.poison.Crashed(flight.choice.Target.ID) {
 			relay.metrics.suspects.Inc()
 		}
@@ -223,8 +246,8 @@
 func (relay *Relay) observe(flight *flight, outcome health.Outcome) {
 	target := flight.choice.Target
 	changed := relay.health.Observe(health.Event{
-		Target: target.ID, Group: groupOf(target), Outcome: outcome,
-		FirstByte: flight.first, WorkTokens: int(flight.choice.Work.PrefillTokens),
+		Target: target.ID, Outcome: outcome,
+		FirstByte: flight.first, Expected: flight.choice.Delay,
 	})
 	if changed {
 		relay.targets.SetWeights(relay.health.Weights())
@@ -256,17 +279,6 @@
 	return header
 }
 
-// groupOf names the targets that a target's health is compared with.
-func groupOf(target *note.Target) string {
-	if target.Kind == note.KindService {
-		return target.DataCenter + "/" + target.Service
-	}
-	if len(target.Models) == 0 {
-		return target.DataCenter
-	}
-	return target.DataCenter + "/" + target.Models[0]
-}
-
 func deadlinePassed(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 }
--- a/internal/transport/relay/rate.go
+++ b/internal/transport/relay/rate.go
@@ -15,13 +15,15 @@
 	decode  float64
 }
 
-// rates are the rates by model.
+// rates are the rates by model, and the targets that leave.
 type rates struct {
-	models map[string]rate
+	models  map[string]rate
+	leaving map[string]bool
 }
 
-// SetRates learns the speed of each model's engines from the targets.
-func (relay *Relay) SetRates(targets []note.Target) {
+// SetTargets learns the speed of each model's engines, and which targets are
+// expected to go away, so that no request is blamed when they do.
+func (relay *Relay) SetTargets(targets []note.Target, leaving map[string]bool) {
 	sums := map[string]rate{}
 	counts := map[string]float64{}
 	for _, target := range targets {
@@ -36,7 +38,13 @@
 	for model, sum := range sums {
 		sums[model] = rate{prefill: sum.prefill / counts[model], decode: sum.decode / counts[model]}
 	}
-	relay.rates.Store(&rates{models: sums})
+	relay.rates.Store(&rates{models: sums, leaving: leaving})
+}
+
+// expected reports whether a target is expected to go away.
+func (relay *Relay) expected(target string) bool {
+	known := relay.rates.Load()
+	return known != nil && known.leaving[target]
 }
 
 func (relay *Relay) rateOf(model string) rate {
--- a/internal/transport/relay/split.go
+++ b/internal/transport/relay/split.go
@@ -35,7 +35,7 @@
 func (relay *Relay) prefill(ctx context.Context, exchange *exchange, view *route.View) *retry.Attempt {
 	ask := exchange.ask
 	ask.Role, ask.Predicted = note.RolePrefill, 0
-	choice, err := relay.pick(view, exchange, ask)
+	choice, err := relay.pick(ctx, exchange, ask)
 	if err != nil {
 		return relay.attemptOf(ctx, exchange, retry.NotSent, err)
 	}
