--- a/internal/coordination/lease/machine_test.go
+++ b/internal/coordination/lease/machine_test.go
@@ -23,6 +23,8 @@
 }
 
 // bubble keeps rapid from asking for the deadline of a test on a paused clock.
+// A check ends after a day on that clock, however many runs were asked for; the
+// count that -v prints is the true one.
 type bubble struct{ *testing.T }
 
 // gate is a store whose caller can be paused before and after each call.
--- a/internal/coordination/order/machine_test.go
+++ b/internal/coordination/order/machine_test.go
@@ -14,6 +14,8 @@
 )
 
 // bubble keeps rapid from asking for the deadline of a test on a paused clock.
+// A check ends after a day on that clock, however many runs were asked for; the
+// count that -v prints is the true one.
 type bubble struct{ *testing.T }
 
 // machine draws what several holders, the network, the store and the targets
