Tell peers' prefill and decode work apart

Instances told one number of tokens per target, which counted as decode work there; prompts sent by peers did not count against a target's prefill.

--- a/internal/coordination/gossip/check.go
+++ b/internal/coordination/gossip/check.go
@@ -66,7 +66,7 @@
 	}
 	for _, target := range load.GetTargets() {
 		_, known := peerpb.Health_name[int32(target.GetHealth())]
-		valid = valid && known && isName(target.GetTarget()) && isAmount(target.GetCost())
+		valid = valid && known && isName(target.GetTarget()) && isAmount(target.GetCost()) && isAmount(target.GetPrefill())
 	}
 	return valid
 }
--- a/internal/coordination/gossip/peer.go
+++ b/internal/coordination/gossip/peer.go
@@ -35,7 +35,8 @@
 type TargetLoad struct {
 	Target   string
 	InFlight int     // requests sent and not answered
-	Cost     float64 // cost units of these
+	Prefill  float64 // prompt tokens of these still to be processed
+	Cost     float64 // tokens expected to be generated for these
 	Health   Health  // the instance's verdict
 }
 
@@ -67,7 +68,7 @@
 	for _, target := range load.Targets[:min(len(load.Targets), TargetsMax)] {
 		message.Targets = append(message.Targets, &peerpb.TargetLoad{
 			Target: target.Target, InFlight: uint32(target.InFlight),
-			Cost: target.Cost, Health: peerpb.Health(target.Health),
+			Prefill: target.Prefill, Cost: target.Cost, Health: peerpb.Health(target.Health),
 		})
 	}
 	members.mu.Lock()
@@ -85,7 +86,7 @@
 	for _, target := range message.GetTargets() {
 		load.Targets = append(load.Targets, TargetLoad{
 			Target: target.GetTarget(), InFlight: int(target.GetInFlight()),
-			Cost: target.GetCost(), Health: Health(target.GetHealth()),
+			Prefill: target.GetPrefill(), Cost: target.GetCost(), Health: Health(target.GetHealth()),
 		})
 	}
 	return load
--- a/internal/transport/entry/exchange.go
+++ b/internal/transport/entry/exchange.go
@@ -51,10 +51,11 @@
 	var targets []gossip.TargetLoad
 	for id, work := range watcher.instance.targets.Sent() {
 		targets = append(targets, gossip.TargetLoad{
-			Target: id, InFlight: int(work.Requests), Cost: float64(work.PrefillTokens + work.DecodeTokens),
+			Target: id, InFlight: int(work.Requests),
+			Prefill: float64(work.PrefillTokens), Cost: float64(work.DecodeTokens),
 		})
 	}
-	slices.SortFunc(targets, func(a, b gossip.TargetLoad) int { return cmp.Compare(b.Cost, a.Cost) })
+	slices.SortFunc(targets, func(a, b gossip.TargetLoad) int { return cmp.Compare(b.InFlight, a.InFlight) })
 	return targets
 }
 
@@ -91,15 +92,16 @@
 	return admit.Peer{Name: peer.ID, At: peer.Load.Seen, Demands: demands}
 }
 
-// sentBy returns the work that a peer has in flight at targets. Peers tell
-// tokens of both phases together; they count as decode, the slower one.
+// sentBy returns the work that a peer has in flight at targets.
 func sentBy(peer gossip.Peer) map[string]route.Work {
 	if peer.Load == nil {
 		return nil
 	}
 	sent := map[string]route.Work{}
 	for _, target := range peer.Load.Targets {
-		sent[target.Target] = route.Work{Requests: int64(target.InFlight), DecodeTokens: int64(target.Cost)}
+		sent[target.Target] = route.Work{
+			Requests: int64(target.InFlight), PrefillTokens: int64(target.Prefill), DecodeTokens: int64(target.Cost),
+		}
 	}
 	return sent
 }
