order: read the open ticket of another process again in each recovery

A successor kept the platform ticket that it first saw open, since nothing read the row again while its writer lived. When the writer had closed it, no order to the platform was possible until the next change of the lease. Found by the fault matrix: order to the platform, paused after the commit, next order still refused as open after 75 s. TestLiveWriterFreesThePlatform fails at pause 6 without the line in recoverOne.

--- a/internal/coordination/order/order_test.go
+++ b/internal/coordination/order/order_test.go
@@ -232,6 +232,30 @@
 	}
 }
 
+// TestLiveWriterFreesThePlatform has a former holder that is slow at every step
+// and closes its ticket after the successor has read it.
+func TestLiveWriterFreesThePlatform(t *testing.T) {
+	for pauseAt := int64(1); pauseAt < 16; pauseAt++ {
+		synctest.Test(t, func(t *testing.T) {
+			world := newWorld(0)
+			first, second := world.start("first"), world.start("second")
+			first.reachable.Store(true)
+			world.takeOver(first)
+			paused, done := first.background(pauseAt, func() { toPlatform(first, "v1") })
+			world.takeOver(second)
+			if paused {
+				time.AfterFunc(time.Second, func() { close(first.resume) })
+			}
+			second.recover()
+			result := toPlatform(second, "v2")
+			<-done
+			if faults := world.faults(); len(faults) > 0 || result.Err != nil {
+				t.Fatalf("pause at %d: %v, %v", pauseAt, result.Err, faults)
+			}
+		})
+	}
+}
+
 // TestPlatformWaitsForTheWriter shows that nothing is sent to a platform that
 // minds repeats until the writer of the open ticket is known to be gone.
 func TestPlatformWaitsForTheWriter(t *testing.T) {
--- a/internal/coordination/order/recover.go
+++ b/internal/coordination/order/recover.go
@@ -146,6 +146,9 @@
 		return false
 	}
 	defer issuer.unclaim(slot)
+	if ticket.Session != issuer.session {
+		issuer.expire(slot) // its writer may have closed it
+	}
 	current, _, err := issuer.load(ctx, slot)
 	if err != nil {
 		return false
--- a/internal/coordination/order/slot.go
+++ b/internal/coordination/order/slot.go
@@ -57,6 +57,13 @@
 	slot.known = version != 0 || ticket.Number == 0
 }
 
+// expire makes the next load read the row.
+func (issuer *Issuer) expire(slot *slot) {
+	issuer.mu.Lock()
+	defer issuer.mu.Unlock()
+	slot.known = false
+}
+
 func (issuer *Issuer) recall(slot *slot) (Ticket, uint64, bool) {
 	issuer.mu.Lock()
 	defer issuer.mu.Unlock()
