--- a/internal/coordination/route/view.go
+++ b/internal/coordination/route/view.go
@@ -64,6 +64,12 @@
 	return len(view.pools[request.pool()])
 }
 
+// Has reports whether the instance may send requests to the target.
+func (view *View) Has(id string) bool {
+	_, ok := view.members[id]
+	return ok
+}
+
 func newView() *View {
 	return &View{pools: map[poolKey][]*member{}, members: map[string]*member{}}
 }
--- a/internal/transport/entry/control.go
+++ b/internal/transport/entry/control.go
@@ -130,6 +130,19 @@
 	return stewards
 }
 
+// holds reports whether the orders of a data center are in this instance's
+// hands.
+func (control *control) holds(dataCenter string) bool {
+	control.mu.Lock()
+	steward, ok := control.stewards[dataCenter]
+	control.mu.Unlock()
+	if !ok {
+		return false
+	}
+	_, held := steward.lease.Held()
+	return held
+}
+
 // duty lets the freezer work under a lease.
 type duty struct {
 	lease *lease.Lease
--- a/internal/transport/entry/watcher.go
+++ b/internal/transport/entry/watcher.go
@@ -156,23 +156,23 @@
 		return
 	}
 	known := watcher.known(catalog)
-	watcher.keepPolls(ctx, known)
 	var targets []route.Target
 	var members []health.Member
 	var plain []note.Target
 	going := map[string]bool{}
 	for id, target := range known {
 		current := watcher.current(target.Target)
-		poll := watcher.polls[id]
+		last := watcher.lastOf(id)
 		_, listed := catalog.Targets[id]
 		withdrawn := !listed && !target.Ordered
-		leaving := withdrawn || target.Life == infra.Leaving || poll.last.Draining || poll.last.Changing
+		leaving := withdrawn || target.Life == infra.Leaving || last.Draining || last.Changing
 		targets = append(targets, route.Target{Target: current, Leaving: leaving})
 		members = append(members, health.Member{Target: id, Group: groupOf(current)})
 		plain = append(plain, current)
 		going[id] = withdrawn || target.Life == infra.Leaving
 	}
 	watcher.instance.targets.SetTargets(targets)
+	watcher.keepPolls(ctx, watcher.polled(known))
 	watcher.instance.health.SetMembers(members)
 	watcher.instance.relay.SetTargets(plain, going)
 	watcher.setCapacity(plain)
@@ -180,10 +180,39 @@
 	watcher.count.Store(int64(len(targets)))
 }
 
+// pollAllTargets is the size of a fleet up to which an instance polls all
+// targets.
+const pollAllTargets = 256
+
+// polled returns the targets whose state this instance needs: those that it
+// sends requests to, those under its orders, and those under a change.
+func (watcher *watcher) polled(known map[string]infra.Target) map[string]infra.Target {
+	if len(known) <= pollAllTargets {
+		return known
+	}
+	view := watcher.instance.targets.View()
+	chosen := map[string]infra.Target{}
+	for id, target := range known {
+		last := watcher.lastOf(id)
+		if view.Has(id) || last.Draining || last.Changing || watcher.instance.control.holds(target.DataCenter) {
+			chosen[id] = target
+		}
+	}
+	return chosen
+}
+
+// lastOf returns the last load report of a target, empty if there is none.
+func (watcher *watcher) lastOf(id string) engine.Load {
+	if poll, ok := watcher.polls[id]; ok {
+		return poll.last
+	}
+	return engine.Load{}
+}
+
 // current is the target with the role and the models that it reports.
 func (watcher *watcher) current(target note.Target) note.Target {
-	poll := watcher.polls[target.ID]
-	if target.Kind != note.KindEngine || !poll.known {
+	poll, ok := watcher.polls[target.ID]
+	if target.Kind != note.KindEngine || !ok || !poll.known {
 		return target
 	}
 	if poll.last.Role != "" {
