usage: measure records, copies and windows; keep the time of copies

A holder told up to when it has all counts only with the windows asked for, so that idle instances counted as missing. It now keeps that time for each origin.

--- a/internal/coordination/usage/fallback.go
+++ b/internal/coordination/usage/fallback.go
@@ -79,16 +79,16 @@
 		if settled && len(writes) < limit {
 			writes = append(writes, table.Write{Key: row.Key, Version: row.Version, Delete: true})
 		}
-		if !settled && batch.Window <= ask.Window {
+		if !settled {
 			batches = append(batches, batch)
 		}
 	}
 	if len(writes) > 0 {
 		if err := copies.rows.Commit(ctx, writes...); err != nil {
-			return batches, nil //nolint:nilerr // the rows are deleted at the next call
+			return ask.answer(batches), nil //nolint:nilerr // the rows are deleted at the next call
 		}
 	}
-	return batches, nil
+	return ask.answer(batches), nil
 }
 
 // write returns the write that merges a batch into the row of its window.
--- a/internal/coordination/usage/holder.go
+++ b/internal/coordination/usage/holder.go
@@ -19,6 +19,7 @@
 
 	mu    sync.Mutex
 	held  map[batchKey]*figures
+	at    map[Origin]int64 // up to when all counts of an origin came here
 	lines int
 }
 
@@ -37,6 +38,7 @@
 		settings: settings,
 		name:     self + "/" + life,
 		held:     map[batchKey]*figures{},
+		at:       map[Origin]int64{},
 	}
 }
 
@@ -74,11 +76,23 @@
 			holder.remove(key)
 			continue
 		}
-		if key.window <= ask.Window {
-			batches = append(batches, figures.whole())
+		batches = append(batches, figures.whole())
+	}
+	return ask.answer(append(batches, holder.marks(ask.Window)...))
+}
+
+// marks returns an empty batch for each origin that is not forgotten, with the
+// time up to which all its counts came here.
+func (holder *Holder) marks(window Window) []Batch {
+	oldest := holder.settings.schedule.Start(window - holder.settings.horizon).UnixMilli()
+	var batches []Batch
+	for origin, atMS := range holder.at {
+		if atMS < oldest {
+			delete(holder.at, origin)
+			continue
 		}
+		batches = append(batches, Batch{Origin: origin, Window: window, AtMS: atMS})
 	}
-	slices.SortFunc(batches, compareBatches)
 	return batches
 }
 
@@ -109,6 +123,7 @@
 		holder.lines++
 	}
 	holder.lines += holder.held[key].add(batch)
+	holder.at[batch.Origin] = max(holder.at[batch.Origin], batch.AtMS)
 }
 
 func (holder *Holder) remove(key batchKey) {
--- a/internal/coordination/usage/machine_test.go
+++ b/internal/coordination/usage/machine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -69,14 +70,15 @@
 		name: fmt.Sprintf("n%d", fleet.lives), stop: stop, since: time.Now(),
 		delivered: map[place]int64{}, copied: map[place]int64{},
 	}
-	node.holder = usage.NewHolder(node.name)
+	source := usage.WithRandom(rand.NewPCG(uint64(fleet.lives), 1))
+	node.holder = usage.NewHolder(node.name, source, usage.WithWindow(schedule.Length))
 	first := func(ctx context.Context, batches []usage.Batch) (string, error) {
 		return fleet.copy(ctx, node, (slot+1)%slots, batches)
 	}
 	second := func(ctx context.Context, batches []usage.Batch) (string, error) {
 		return fleet.copy(ctx, node, (slot+2)%slots, batches)
 	}
-	node.meter = usage.NewMeter(node.name, replicaFunc(first), usage.WithWindow(schedule.Length),
+	node.meter = usage.NewMeter(node.name, replicaFunc(first), usage.WithWindow(schedule.Length), source,
 		usage.WithFallbacks(replicaFunc(second)), usage.WithHolder(node.holder), usage.WithHeartbeat(heartbeat), usage.WithCopyTimeout(copyTimeout))
 	node.end = node.meter.Start(ctx)
 	fleet.change(func() {
--- a/internal/coordination/usage/merge.go
+++ b/internal/coordination/usage/merge.go
@@ -75,6 +75,25 @@
 	return whole
 }
 
+// answer returns the batches of one replica up to the window of an ask. Each
+// tells up to which time the replica has all counts of its origin, which a
+// later window may know better.
+func (ask Ask) answer(batches []Batch) []Batch {
+	atMS := map[Origin]int64{}
+	for _, batch := range batches {
+		atMS[batch.Origin] = max(atMS[batch.Origin], batch.AtMS)
+	}
+	var answer []Batch
+	for _, batch := range batches {
+		batch.AtMS = atMS[batch.Origin]
+		if batch.Window > ask.Window {
+			batch = Batch{Origin: batch.Origin, Window: ask.Window, AtMS: batch.AtMS}
+		}
+		answer = append(answer, batch)
+	}
+	return Merge(answer)
+}
+
 func compareBatches(a, b Batch) int {
 	return cmp.Or(cmp.Compare(a.Window, b.Window), compareOrigins(a.Origin, b.Origin))
 }
--- a/internal/coordination/usage/option.go
+++ b/internal/coordination/usage/option.go
@@ -73,7 +73,8 @@
 	return func(settings *settings) { settings.source = source }
 }
 
-// WithWindow sets the length of a window, which all instances share.
+// WithWindow sets the length of a window, which all parts of all instances
+// share.
 func WithWindow(length time.Duration) Option {
 	return func(settings *settings) { settings.schedule.Length = length }
 }
