--- a/cmd/mangopier/target.go
+++ b/cmd/mangopier/target.go
@@ -12,6 +12,7 @@
 
 	"mangopier.example/mangopier/internal/coordination/order"
 	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/infra"
 	"mangopier.example/mangopier/internal/protocol/note"
 	"mangopier.example/mangopier/internal/transport/back"
 	"mangopier.example/mangopier/internal/transport/plat"
@@ -32,8 +33,9 @@
 	defer client.Close()
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(out, "\nTARGET\tDATA CENTER\tREPORTS\tORDER\tSTATE\tOUTCOME")
-	for _, id := range slices.Sorted(maps.Keys(catalog.Targets)) {
-		target := catalog.Targets[id]
+	targets := allTargets(ctx, platform, catalog)
+	for _, id := range slices.Sorted(maps.Keys(targets)) {
+		target := targets[id]
 		ticket := tickets[id]
 		_, _ = fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\n", id, target.DataCenter, reported(ctx, client, target),
 			orDash(string(ticket.Order.Kind)), orDash(string(ticket.State)), orDash(string(ticket.Outcome)))
@@ -41,6 +43,28 @@
 	return out.Flush()
 }
 
+// allTargets returns the targets of the catalog, those that it withdrew and
+// those that the system ordered, as far as the platform lists them as not
+// ended.
+func allTargets(ctx context.Context, platform *plat.Client, catalog *note.Catalog) map[string]note.Target {
+	targets := map[string]note.Target{}
+	for id, gone := range catalog.Gone {
+		targets[id] = gone.Target
+	}
+	listed, err := platform.Targets(ctx)
+	if err != nil {
+		listed = nil
+	}
+	for _, target := range listed {
+		targets[target.ID] = target.Target
+		if target.Life == infra.Ended {
+			delete(targets, target.ID)
+		}
+	}
+	maps.Copy(targets, catalog.Targets)
+	return targets
+}
+
 func reported(ctx context.Context, client *back.Client, target note.Target) string {
 	load, err := client.Load(ctx, target.Address)
 	if err != nil {
--- a/internal/coordination/lease/contest.go
+++ b/internal/coordination/lease/contest.go
@@ -37,7 +37,7 @@
 	options := &contest.lease.options
 	options.metrics.failures.Inc()
 	if contest.failures == 0 {
-		options.logger.Warn().Err(err).Str("action", action).Msg("lease: store call failed")
+		options.logger.Warn().Err(err).Str("action", action).Msg("store call failed")
 	}
 	wait := options.backoff(contest.failures, contest.tenure != nil || options.standby())
 	contest.failures++
--- a/internal/coordination/lease/tenure.go
+++ b/internal/coordination/lease/tenure.go
@@ -83,7 +83,7 @@
 	lease.options.metrics.losses.Inc()
 	lease.options.metrics.epoch.Set(0)
 	lease.options.logger.Warn().Uint64("epoch", successor.Epoch).
-		Str("holder", successor.Holder).Msg("lease: lost to another instance")
+		Str("holder", successor.Holder).Msg("lost to another instance")
 }
 
 func (contest *contest) beat(ctx context.Context, released bool) error {
--- a/internal/coordination/lease/watch.go
+++ b/internal/coordination/lease/watch.go
@@ -157,13 +157,13 @@
 	lease.belief.Store(&belief{grant: tenure.grant, sent: tenure.sent})
 	lease.options.metrics.takeovers.Inc()
 	lease.options.metrics.epoch.Set(float64(tenure.epoch))
-	lease.options.logger.Info().Uint64("epoch", tenure.epoch).Msg("lease: taken")
+	lease.options.logger.Info().Uint64("epoch", tenure.epoch).Msg("taken")
 }
 
 func (contest *contest) malformed(err error) time.Duration {
 	options := &contest.lease.options
 	options.metrics.malformed.Inc()
-	options.logger.Error().Err(err).Msg("lease: row cannot be read")
+	options.logger.Error().Err(err).Msg("row cannot be read")
 	return options.renewal()
 }
 
--- a/internal/coordination/order/issue.go
+++ b/internal/coordination/order/issue.go
@@ -248,7 +248,7 @@
 	default:
 		issuer.options.metrics.unknown.Inc()
 		issuer.options.logger.Warn().Err(err).Str("target", ticket.Target.ID).
-			Uint64("number", ticket.Number).Msg("order: no clear answer")
+			Uint64("number", ticket.Number).Msg("no clear answer")
 		return ""
 	}
 }
--- a/internal/coordination/order/platform.go
+++ b/internal/coordination/order/platform.go
@@ -87,7 +87,7 @@
 	default:
 		issuer.options.metrics.unknown.Inc()
 		issuer.options.logger.Warn().Err(err).Uint64("number", ticket.Number).
-			Msg("order: no clear answer from the platform")
+			Msg("no clear answer from the platform")
 		return ""
 	}
 }
@@ -109,7 +109,7 @@
 		return OutcomeEnded, issuer.closeAsSuccessor(ctx, slot, ticket, OutcomeEnded)
 	default:
 		issuer.options.logger.Warn().Str("writer", ticket.Writer).Dur("age", time.Since(ticket.Written)).
-			Msg("order: waiting for the writer of an open platform order to end")
+			Msg("waiting for the writer of an open platform order to end")
 		return "", nil
 	}
 }
--- a/internal/coordination/order/recover.go
+++ b/internal/coordination/order/recover.go
@@ -158,7 +158,7 @@
 	}
 	outcome, err := issuer.resolve(ctx, slot, current)
 	if err != nil {
-		issuer.options.logger.Warn().Err(err).Str("row", slot.key).Msg("order: ticket not settled")
+		issuer.options.logger.Warn().Err(err).Str("row", slot.key).Msg("ticket not settled")
 	}
 	return outcome != "" && err == nil
 }
--- a/internal/coordination/order/resolve.go
+++ b/internal/coordination/order/resolve.go
@@ -89,7 +89,7 @@
 	}
 	issuer.options.metrics.abandoned.Inc()
 	issuer.options.logger.Warn().Str("target", found.Target.ID).Str("writer", found.Writer).
-		Uint64("number", found.Number).Msg("order: target abandoned")
+		Uint64("number", found.Number).Msg("target abandoned")
 	return OutcomeAbandoned, nil
 }
 
--- a/internal/coordination/order/write.go
+++ b/internal/coordination/order/write.go
@@ -166,7 +166,7 @@
 
 func (issuer *Issuer) malformed(err error) {
 	issuer.options.metrics.malformed.Inc()
-	issuer.options.logger.Error().Err(err).Msg("order: row cannot be read")
+	issuer.options.logger.Error().Err(err).Msg("row cannot be read")
 }
 
 // load returns the ticket of a claimed row and its version.
--- a/internal/coordination/usage/copy.go
+++ b/internal/coordination/usage/copy.go
@@ -150,7 +150,9 @@
 		}
 		last = err
 	}
-	meter.settings.logger.Warn().Err(last).Msg("no replica takes a copy")
+	if !meter.degraded.Load() {
+		meter.settings.logger.Warn().Err(last).Msg("no replica takes a copy")
+	}
 	return "", code.Wrap(last, code.WriteUnknown, "no replica takes a copy")
 }
 
--- a/internal/protocol/conf/conf.go
+++ b/internal/protocol/conf/conf.go
@@ -178,6 +178,9 @@
 	if settings.Limits.AllBodiesBytes < int64(settings.Limits.BodyBytes) {
 		faults = append(faults, &Fault{Field: "/limits/all-bodies-bytes", Reason: "is below body-bytes"})
 	}
+	if settings.Timeouts.DrainMS < settings.Timeouts.RequestMS {
+		faults = append(faults, &Fault{Field: "/timeouts/drain-ms", Reason: "is below request-ms, so that a planned stop could cut requests"})
+	}
 	if settings.Limits.BacklogSeconds <= 0 {
 		faults = append(faults, &Fault{Field: "/limits/backlog-seconds", Reason: "is not positive"})
 	}
--- a/internal/protocol/note/catalog.go
+++ b/internal/protocol/note/catalog.go
@@ -24,8 +24,20 @@
 	// Withdrawn holds the digests of withdrawn keys with the number of the
 	// note that withdrew each. A withdrawn key never comes back.
 	Withdrawn map[string]uint64 `json:"withdrawn"`
+	// Gone holds the targets that were withdrawn by the latest GoneNotes notes,
+	// until whoever issues orders has drained and stopped them.
+	Gone map[string]GoneTarget `json:"gone"`
 }
 
+// GoneTarget is a withdrawn target and the note that withdrew it.
+type GoneTarget struct {
+	Target Target `json:"target"`
+	Number uint64 `json:"number"`
+}
+
+// GoneNotes is for how many notes a withdrawn target is remembered.
+const GoneNotes = 1000
+
 // Empty returns the catalog before the first note.
 func Empty() *Catalog {
 	return &Catalog{
@@ -37,6 +49,7 @@
 		Routes:      map[string]Route{},
 		Targets:     map[string]Target{},
 		Withdrawn:   map[string]uint64{},
+		Gone:        map[string]GoneTarget{},
 	}
 }
 
@@ -57,6 +70,7 @@
 		Routes:      changed(catalog.Routes, note.Routes, func(item Route) string { return item.Path }),
 		Targets:     changed(catalog.Targets, note.Targets, func(item Target) string { return item.ID }),
 		Withdrawn:   catalog.Withdrawn,
+		Gone:        catalog.gone(note),
 	}
 	if err := checkWithdrawals(catalog, note); err != nil {
 		return nil, err
@@ -73,6 +87,22 @@
 	return next, nil
 }
 
+// gone returns the withdrawn targets after a note.
+func (catalog *Catalog) gone(note *Note) map[string]GoneTarget {
+	next := maps.Clone(catalog.Gone)
+	for _, target := range note.Targets.Set {
+		delete(next, target.ID)
+	}
+	number := catalog.Number + 1
+	for _, id := range note.Targets.Withdraw {
+		if target, ok := catalog.Targets[id]; ok {
+			next[id] = GoneTarget{Target: target, Number: number}
+		}
+	}
+	maps.DeleteFunc(next, func(_ string, gone GoneTarget) bool { return gone.Number+GoneNotes < number })
+	return next
+}
+
 // Encode returns the catalog as JSON, the same bytes for equal catalogs.
 func (catalog *Catalog) Encode() ([]byte, error) {
 	return json.Marshal(catalog, json.Deterministic(true))
--- a/internal/transport/entry/build.go
+++ b/internal/transport/entry/build.go
@@ -71,7 +71,8 @@
 	near := &replica{instance: instance}
 	inTable := usage.NewTableCopy(instance.platform, tableCopyInterval)
 	instance.meter = usage.NewMeter(settings.Instance, distant,
-		append(opts, usage.WithFallbacks(near, inTable), usage.WithRegisterer(instance.registry))...)
+		append(opts, usage.WithFallbacks(near, inTable), usage.WithHolder(instance.holder),
+			usage.WithRegisterer(instance.registry))...)
 }
 
 func (instance *Instance) buildRelay() {
--- a/internal/transport/entry/control.go
+++ b/internal/transport/entry/control.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"mangopier.example/mangopier/internal/coordination/lease"
 	"mangopier.example/mangopier/internal/coordination/usage"
 	"mangopier.example/mangopier/internal/protocol/conf"
@@ -16,6 +18,8 @@
 	// standbyCount is how many instances watch a lease closely.
 	standbyCount = 3
 	controlPause = 250 * time.Millisecond
+	sweepPause   = 5 * time.Second
+	sweepRows    = 200
 )
 
 // control takes part in the contest for the duties of the fleet: the orders
@@ -46,6 +50,7 @@
 	return lease.New(instance.platform, name, instance.settings.Instance,
 		lease.WithTerm(conf.Milliseconds(instance.settings.Timeouts.LeaseMS)),
 		lease.WithLogger(instance.logger),
+		lease.WithRegisterer(prometheus.WrapRegistererWith(prometheus.Labels{"duty": name}, instance.registry)),
 		lease.WithStandby(func() bool { return instance.standby(name) }))
 }
 
@@ -77,6 +82,7 @@
 	defer releaseLeases()
 	leases := []<-chan error{control.reports.Start(leaseCtx)}
 	var works []<-chan error
+	sweeper := control.startSweeper(workCtx)
 	ticker := time.NewTicker(controlPause)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -90,7 +96,7 @@
 		}
 	}
 	stopWork()
-	errs := []error{<-freezer}
+	errs := []error{<-freezer, <-sweeper}
 	for _, work := range works {
 		errs = append(errs, <-work)
 	}
@@ -101,6 +107,27 @@
 	return errors.Join(errs...)
 }
 
+// startSweeper deletes expired claims, a page at a time, at the instance that
+// has the usage duty.
+func (control *control) startSweeper(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		after := ""
+		for ctx.Err() == nil {
+			rest(ctx, sweepPause)
+			if _, held := control.reports.Held(); !held || ctx.Err() != nil {
+				continue
+			}
+			next, _, err := control.instance.guard.Sweep(ctx, after, sweepRows)
+			if err == nil {
+				after = next
+			}
+		}
+		ended <- nil
+	}()
+	return ended
+}
+
 // added returns stewards for data centers that are new in the catalog.
 func (control *control) added() []*steward {
 	catalog := control.instance.feed.Current()
--- a/internal/transport/entry/watcher.go
+++ b/internal/transport/entry/watcher.go
@@ -264,6 +264,11 @@
 		}
 		targets[id] = infra.Target{Target: target, Life: life}
 	}
+	for id, gone := range catalog.Gone {
+		if _, ok := targets[id]; !ok {
+			targets[id] = infra.Target{Target: gone.Target, Life: infra.Live}
+		}
+	}
 	return targets
 }
 
--- a/internal/transport/front/refusal.go
+++ b/internal/transport/front/refusal.go
@@ -61,14 +61,17 @@
 	_, _ = w.Write(body)
 }
 
-// message keeps the text of faults of the system itself from callers.
+// message tells callers what is wrong with their own request, and of other
+// faults only what the code means, since causes name addresses and rows.
 func message(err error, number code.Code) string {
-	if number == code.Internal {
-		return code.Lookup(number).Text
+	if number <= lastCallerFault {
+		return err.Error()
 	}
-	return err.Error()
+	return code.Lookup(number).Text
 }
 
+const lastCallerFault = code.BodyTimeout
+
 func setHeaders(header http.Header, err error) {
 	header.Set(HeaderCode, strconv.Itoa(int(code.Of(err))))
 	header.Set(HeaderRun, code.RunOf(err).String())
--- a/internal/transport/relay/access.go
+++ b/internal/transport/relay/access.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -78,12 +79,29 @@
 	if err != nil {
 		return nil //nolint:nilerr // a request without a key has none to hide
 	}
-	if strings.Contains(r.URL.RequestURI(), key) || bytes.Contains(body, []byte(key)) {
+	if bytes.Contains(body, []byte(key)) || containsAny(key, exposedBy(r)) {
 		return code.Errorf(code.MalformedRequest, "the key may stand in the Authorization header only")
 	}
 	return nil
 }
 
+// exposedBy returns the parts of a request that may go on to a target, as sent
+// and decoded.
+func exposedBy(r *http.Request) []string {
+	parts := []string{r.URL.RequestURI(), r.URL.Path}
+	if decoded, err := url.QueryUnescape(r.URL.RawQuery); err == nil {
+		parts = append(parts, decoded)
+	}
+	for _, name := range append([]string{"Traceparent", "Tracestate"}, passedHeaders...) {
+		parts = append(parts, r.Header.Values(name)...)
+	}
+	return parts
+}
+
+func containsAny(key string, parts []string) bool {
+	return slices.ContainsFunc(parts, func(part string) bool { return strings.Contains(part, key) })
+}
+
 func allowed(team note.Team, name string) error {
 	if len(team.Models) == 0 || slices.Contains(team.Models, name) {
 		return nil
--- a/internal/transport/relay/attempt.go
+++ b/internal/transport/relay/attempt.go
@@ -211,14 +211,22 @@
 	}
 	relay.observe(flight, health.Failure)
 	if state != retry.NotSent && !attempt.Timeout && !relay.expected(flight.choice.Target.ID) {
-		for range relay.poison.Crashed(flight.choice.Target.ID) {
-			relay.metrics.suspects.Inc()
-		}
+		relay.suspect(flight.choice.Target.ID)
 	}
 	relay.logger.Debug().Str("target", flight.choice.Target.ID).Err(err).Msg("attempt failed")
 	return attempt
 }
 
+// suspect notes that a target crashed under the requests that it ran.
+func (relay *Relay) suspect(target string) {
+	suspects := relay.poison.Crashed(target)
+	if len(suspects) == 0 {
+		return
+	}
+	relay.metrics.suspects.Add(float64(len(suspects)))
+	relay.logger.Warn().Str("target", target).Int("suspects", len(suspects)).Msg("target crashed under requests")
+}
+
 func (relay *Relay) refused(ctx context.Context, exchange *exchange, flight *flight, answer *back.Answer) *retry.Attempt {
 	attempt := relay.attemptOf(ctx, exchange, retry.Ran,
 		code.Errorf(code.TargetRefused, "target answers with status %d", answer.Status))
--- a/internal/transport/relay/metrics.go
+++ b/internal/transport/relay/metrics.go
@@ -54,13 +54,7 @@
 }
 
 func (metrics *metrics) ended(path string, err error, duration time.Duration) {
-	kind := "service"
-	switch path {
-	case "/v1/chat/completions":
-		kind = "chat"
-	case "/v1/models":
-		kind = "models"
-	}
+	kind := kindOf(path)
 	number := 0
 	if err != nil {
 		number = int(code.Of(err))
@@ -69,6 +63,19 @@
 	metrics.duration.WithLabelValues(kind).Observe(duration.Seconds())
 }
 
+// kindOf names what a request is for. Paths themselves are kept out of metrics
+// and traces: there may be many, and a caller may put a secret there.
+func kindOf(path string) string {
+	switch path {
+	case "/v1/chat/completions":
+		return "chat"
+	case "/v1/models":
+		return "models"
+	default:
+		return "service"
+	}
+}
+
 func (metrics *metrics) count(line usage.Line) {
 	metrics.tokens.WithLabelValues("prompt").Add(float64(line.PromptTokens))
 	metrics.tokens.WithLabelValues("cached").Add(float64(line.CachedTokens))
--- a/internal/transport/relay/service.go
+++ b/internal/transport/relay/service.go
@@ -93,7 +93,7 @@
 			return nil, err
 		}
 	}
-	if errand.deadline, err = relay.deadlineOf(r, serviceTimeout(found)); err != nil {
+	if errand.deadline, err = relay.deadlineOf(r, min(relay.timeout, serviceTimeout(found))); err != nil {
 		return nil, err
 	}
 	if errand.body, err = io.ReadAll(r.Body); err != nil {
--- a/internal/transport/relay/span.go
+++ b/internal/transport/relay/span.go
@@ -18,7 +18,7 @@
 func (relay *Relay) startSpan(r *http.Request) (context.Context, trace.Span) {
 	ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	return relay.tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer),
-		trace.WithAttributes(attribute.String("path", r.URL.Path)))
+		trace.WithAttributes(attribute.String("kind", kindOf(r.URL.Path))))
 }
 
 func endSpan(span trace.Span, err error) {
