--- a/internal/transport/entry/control.go
+++ b/internal/transport/entry/control.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"mangopier.example/mangopier/internal/coordination/lease"
 	"mangopier.example/mangopier/internal/coordination/usage"
 	"mangopier.example/mangopier/internal/protocol/conf"
@@ -50,7 +48,7 @@
 	return lease.New(instance.platform, name, instance.settings.Instance,
 		lease.WithTerm(conf.Milliseconds(instance.settings.Timeouts.LeaseMS)),
 		lease.WithLogger(instance.logger),
-		lease.WithRegisterer(prometheus.WrapRegistererWith(prometheus.Labels{"duty": name}, instance.registry)),
+		lease.WithRegisterer(instance.registry),
 		lease.WithStandby(func() bool { return instance.standby(name) }))
 }
 
--- a/internal/transport/entry/steward.go
+++ b/internal/transport/entry/steward.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"mangopier.example/mangopier/internal/coordination/lease"
@@ -51,8 +50,7 @@
 		logger:     instance.logger.With().Str("part", "steward").Str("data-center", dataCenter).Logger(),
 		issuer: order.New(dataCenter, instance.settings.Instance, order.Services{
 			Store: instance.platform, Authority: held, Targets: carrier, Platform: carrier, Writers: carrier,
-		}, order.WithLogger(instance.logger), order.WithPlatformRepeats(), order.WithRegisterer(
-			prometheus.WrapRegistererWith(prometheus.Labels{"data_center": dataCenter}, instance.registry))),
+		}, order.WithLogger(instance.logger), order.WithPlatformRepeats(), order.WithRegisterer(instance.registry)),
 	}
 }
 
