--- a/internal/coordination/oracle/machine_test.go
+++ b/internal/coordination/oracle/machine_test.go
@@ -67,21 +67,25 @@
 	"fail platform": func(world *world, action action) {
 		world.set(func() { world.fate["platform"] = []fate{answerLost, neverArrives}[action.a%2] })
 	},
-	"late orders": func(world *world, _ action) { world.deliverLate() },
-	"crash":       func(world *world, action action) { world.set(func() { world.engine(action.a).crash() }) },
-	"reclaim":     func(world *world, action action) { world.set(func() { world.engine(action.a).reclaimed = true }) },
-	"lapse":       func(world *world, action action) { world.advance(time.Duration(action.a%20+7) * time.Second) },
+	"pause in order": (*world).pauseInOrder,
+	"late orders":    func(world *world, _ action) { world.deliverLate() },
+	"crash":          func(world *world, action action) { world.set(func() { world.engine(action.a).crash() }) },
+	"reclaim":        func(world *world, action action) { world.set(func() { world.engine(action.a).reclaimed = true }) },
+	"lapse":          func(world *world, action action) { world.advance(time.Duration(action.a%20+7) * time.Second) },
 }
 
 // weights are the actions in the order of their names, some more than once.
-var weights = strings.Split("call,call,call twice,crash,cut half,cut off,cut pair,cut store,fail call,fail order,fail order,"+
+var weights = strings.Split("pause in order,pause in order,pause in order,call,call,call twice,crash,cut half,cut off,cut pair,cut store,fail call,fail order,fail order,"+
 	"fail platform,fail report,heal,heal,kill,lapse,lapse,late orders,lose answers,order,order,order,order platform,order platform,"+
 	"order two,pause,pause,publish,reclaim,request,request,resume,resume,start,store down,store slow,store up,store up,use,use,withdraw key", ",")
 
+// programs draws programs of a few kinds of actions each, so that some of them
+// repeat what others do rarely.
 func programs(t *rapid.T) []action {
+	names := rapid.SliceOfN(rapid.SampledFrom(weights), 3, 16).Draw(t, "names")
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
 		return action{
-			name: rapid.SampledFrom(weights).Draw(t, "name"),
+			name: rapid.SampledFrom(names).Draw(t, "name"),
 			a:    rapid.IntRange(0, 19).Draw(t, "a"),
 			b:    rapid.IntRange(0, 19).Draw(t, "b"),
 			wait: time.Duration(rapid.SampledFrom([]int{0, 0, 10, 300, 1000, 3000}).Draw(t, "wait")) * time.Millisecond,
@@ -307,6 +311,30 @@
 	return believers
 }
 
+// pauseInOrder pauses the holder at some step of an order to a target or to the
+// platform, for long enough to lose the lease.
+func (world *world) pauseInOrder(action action) {
+	believers := world.believers()
+	if len(believers) == 0 {
+		return
+	}
+	holder := believers[0]
+	world.trap.Store(&trap{
+		at: action.b % 10, fault: faults[1],
+		wants: func(life *life, step string) bool {
+			return life == holder && (strings.Contains(step, "order") || strings.Contains(step, "report"))
+		},
+	})
+	if action.a%4 == 3 {
+		world.orderPlatform(action)
+	} else {
+		world.order(action)
+	}
+	world.advance(10 * time.Second)
+	world.order(action)
+	world.orderPlatform(action)
+}
+
 func (world *world) failOrder(action action) {
 	fates := []fate{answerLost, neverArrives, arrivesLate, crashes, refused}
 	world.set(func() { world.fate[world.engine(action.a).target.ID] = fates[action.b%len(fates)] })
