--- a/internal/transport/bench/bench.go
+++ b/internal/transport/bench/bench.go
@@ -33,6 +33,7 @@
 type Setup struct {
 	Entries   int // entry instances
 	Engines   int
+	Blocks    int // prompt blocks that an engine's prefix cache holds
 	Routing   Routing
 	Admission Admission
 	Retries   Retries
--- a/internal/transport/bench/scenarios.go
+++ b/internal/transport/bench/scenarios.go
@@ -7,7 +7,7 @@
 
 // Scenarios returns all scenarios in a fixed order.
 func Scenarios() []Scenario {
-	scenarios := []Scenario{steadyScenario(), routingScenario(), floodScenario(), engineLossScenario(), mixShiftScenario()}
+	scenarios := []Scenario{steadyScenario(), routingScenario(), smallCacheScenario(), floodScenario(), engineLossScenario(), mixShiftScenario()}
 	return append(scenarios, policyScenarios()...)
 }
 
@@ -88,14 +88,22 @@
 }
 
 func routingScenario() Scenario {
-	scenario := Scenario{
-		Name:        "routing",
-		Description: "Choice of targets under a load with 16 shared prompt beginnings.",
-	}
+	return routingOver("routing", "Choice of targets under a load with 16 shared prompt beginnings.", 0)
+}
+
+// smallCacheBlocks is too few for all the shared prompt beginnings.
+const smallCacheBlocks = 64
+
+func smallCacheScenario() Scenario {
+	return routingOver("routing-small-cache", "As routing, with engines whose caches hold less than half of the beginnings.", smallCacheBlocks)
+}
+
+func routingOver(name, description string, blocks int) Scenario {
+	scenario := Scenario{Name: name, Description: description}
 	for _, routing := range []Routing{"", RoundRobin, Random, LeastOutstanding} {
 		scenario.Variants = append(scenario.Variants, Variant{
 			Name: cmp.Or(string(routing), "prefix"), Baseline: routing != "",
-			Setup: Setup{Routing: routing}, Workload: workloadAt(60, 30, 30),
+			Setup: Setup{Routing: routing, Blocks: blocks}, Workload: workloadAt(60, 30, 30),
 		})
 	}
 	return scenario
--- a/internal/transport/lab/experiment.go
+++ b/internal/transport/lab/experiment.go
@@ -28,9 +28,12 @@
 	plan.Entries = cmp.Or(variant.Setup.Entries, experimentEntries)
 	plan.Engines, plan.EngineSites = nil, nil
 	for i := range cmp.Or(variant.Setup.Engines, experimentEngines) {
-		plan.Engines = append(plan.Engines, StandardEngine(engineID(i), "layout"))
+		engine := StandardEngine(engineID(i), "layout")
+		engine.CacheBlocks = cmp.Or(variant.Setup.Blocks, engine.CacheBlocks)
+		plan.Engines = append(plan.Engines, engine)
 		plan.EngineSites = append(plan.EngineSites, plan.DataCenters[i%len(plan.DataCenters)])
 	}
+	plan.MaxTargets = 0
 	plan.Adjust = func(settings *conf.Settings) { adjust(settings, variant.Setup) }
 	ctx, cancel := context.WithTimeout(ctx, experimentStart)
 	defer cancel()
