Admit what can be answered in time, and say unknown after a run

A request that a target may have run could be refused as not run when only its last attempt was not sent: the error now says unknown. A test takes all engines down under a running answer.

--- a/internal/protocol/conf/conf.go
+++ b/internal/protocol/conf/conf.go
@@ -39,6 +39,7 @@
 	Connections    int     `json:"connections"`      // open connections of callers
 	QueueRequests  int     `json:"queue-requests"`   // waiting requests of one team
 	BacklogSeconds float64 `json:"backlog-seconds"`  // work in flight per engine, in seconds of the engine
+	QueueSeconds   float64 `json:"queue-seconds"`    // waiting work of one team, in seconds of an engine
 	Attempts       int     `json:"attempts"`         // targets tried for one request
 }
 
@@ -81,7 +82,7 @@
 		LogLevel: "info",
 		Limits: Limits{
 			BodyBytes: 4 << 20, AllBodiesBytes: 64 << 20, HeaderBytes: 32 << 10, Connections: 20_000,
-			QueueRequests: 256, BacklogSeconds: 2, Attempts: 3,
+			QueueRequests: 256, BacklogSeconds: 0.8, QueueSeconds: 0.5, Attempts: 5,
 		},
 		Timeouts: Timeouts{
 			RequestMS: 120_000, ArrivalMS: 15_000, SilenceMS: 5_000, DialMS: 500,
@@ -184,6 +185,9 @@
 	if settings.Limits.BacklogSeconds <= 0 {
 		faults = append(faults, &Fault{Field: "/limits/backlog-seconds", Reason: "is not positive"})
 	}
+	if settings.Limits.QueueSeconds <= 0 {
+		faults = append(faults, &Fault{Field: "/limits/queue-seconds", Reason: "is not positive"})
+	}
 	return faults
 }
 
--- a/internal/transport/entry/build.go
+++ b/internal/transport/entry/build.go
@@ -87,7 +87,10 @@
 	instance.poison = poison.New()
 	instance.guard = once.New(instance.platform, once.WithObjects(instance.platform),
 		once.WithLogger(instance.logger), once.WithRegisterer(instance.registry))
-	instance.queues = queues{engines: instance.admitter(), services: instance.admitter()}
+	instance.queues = queues{
+		engines:  instance.admitter(settings.Limits.QueueSeconds),
+		services: instance.admitter(float64(settings.Limits.QueueRequests)),
+	}
 	instance.relay = relay.New(settings.Instance, instance.feed, instance.targets, instance.client,
 		relay.WithPicker(pickerFor(settings.Policy.Routing)),
 		relay.WithAdmission(instance.queues.engines, instance.queues.services),
@@ -130,18 +133,20 @@
 // unboundedTries is far more than there are targets for a request.
 const unboundedTries = 100
 
-// queueUnits bounds the cost that waits per team, next to the bound on
-// requests.
-const queueUnits = 1e6
+// bucketRate is the rate of the token bucket for each team, in seconds of an
+// engine per second.
+const bucketRate = 2.0
 
-func (instance *Instance) admitter() admit.Admitter {
+// admitter returns the admission by the settings, in which so many cost units
+// of a team may wait.
+func (instance *Instance) admitter(units float64) admit.Admitter {
 	limits := instance.settings.Limits
-	queue := admit.WithQueue(limits.QueueRequests, queueUnits)
+	queue := admit.WithQueue(limits.QueueRequests, units)
 	switch instance.settings.Policy.Admission {
 	case "first-come":
 		return admit.NewFirstCome(queue)
 	case "token-bucket":
-		return admit.NewTokenBucket(limits.BacklogSeconds, limits.BacklogSeconds)
+		return admit.NewTokenBucket(bucketRate, bucketRate)
 	default:
 		return admit.New(queue)
 	}
--- a/internal/transport/lab/caller_test.go
+++ b/internal/transport/lab/caller_test.go
@@ -234,3 +234,22 @@
 		}
 	}
 }
+
+func TestRefusalAfterARunIsNotCalledNotRun(t *testing.T) {
+	running := start(t, func(plan *lab.Plan) {
+		for i := range plan.Engines {
+			plan.Engines[i].DecodeTPS = 20
+		}
+	})
+	ended := make(chan answer, 1)
+	go func() {
+		ended <- ask(context.Background(), running, 0, "press", chatBody("runs and is lost", 100, false))
+	}()
+	eventually(t, "the run", func() bool { return runningAnswers(running) == 1 })
+	for _, engine := range running.Engines {
+		engine.SetDown(true)
+	}
+	if got := <-ended; got.status == 200 || got.run == "not-run" {
+		t.Fatalf("got %+v", got)
+	}
+}
--- a/internal/transport/lab/helper_test.go
+++ b/internal/transport/lab/helper_test.go
@@ -41,8 +41,10 @@
 	return running
 }
 
-// quick makes an instance notice things sooner than in production.
+// quick makes an instance notice things sooner than in production, and admits
+// whatever comes.
 func quick(settings *conf.Settings) {
+	settings.Limits.BacklogSeconds, settings.Limits.QueueSeconds = 100, 100
 	settings.Timeouts.DrainGraceMS = 100
 	settings.Timeouts.PollMS = 50
 }
--- a/internal/transport/relay/attempt.go
+++ b/internal/transport/relay/attempt.go
@@ -35,6 +35,7 @@
 		if failure == nil {
 			return nil
 		}
+		exchange.mayHaveRun = exchange.mayHaveRun || mayHaveRun(failure)
 		decision := relay.policy.Decide(*failure)
 		if decision.Action == retry.Answer || !pause(ctx, decision.Delay) {
 			return relay.giveUp(ctx, exchange, decision.Err, failure)
@@ -48,6 +49,9 @@
 	if err == nil {
 		err = code.Wrap(failure.Err, code.TargetTimeout, "the request ended while it waited for another target")
 	}
+	if exchange.mayHaveRun {
+		err = neverNotRun(err)
+	}
 	if exchange.progress.tokens > 0 || exchange.progress.begun {
 		relay.record(ctx, exchange)
 	}
@@ -64,6 +68,20 @@
 	return &begunError{err}
 }
 
+// mayHaveRun reports whether a target may have run the request in an attempt.
+func mayHaveRun(failure *retry.Attempt) bool {
+	return failure.State != retry.NotSent && !failure.Refused
+}
+
+// neverNotRun keeps an error from saying of a request that it was not run when
+// only its last attempt was not.
+func neverNotRun(err error) error {
+	if code.RunOf(err) != code.NotRun {
+		return err
+	}
+	return code.WithRun(err, code.RunUnknown)
+}
+
 // try makes one attempt at a target. It returns nil when the answer is whole.
 func (relay *Relay) try(ctx context.Context, exchange *exchange) *retry.Attempt {
 	exchange.tries++
@@ -74,6 +92,11 @@
 		}
 	}
 	choice, err := relay.pick(ctx, exchange, exchange.ask)
+	if code.Is(err, code.NoTarget) && len(exchange.ask.Exclude) > 0 {
+		// All that is left are targets tried before, which may be back.
+		exchange.ask.Exclude = nil
+		choice, err = relay.pick(ctx, exchange, exchange.ask)
+	}
 	if err != nil {
 		return relay.attemptOf(ctx, exchange, retry.NotSent, err)
 	}
--- a/internal/transport/relay/chat.go
+++ b/internal/transport/relay/chat.go
@@ -30,6 +30,7 @@
 	deadline    time.Time
 	w           http.ResponseWriter
 	tries       int
+	mayHaveRun  bool      // in an attempt that failed
 	phase       note.Role // prefill while only the prompt is to be processed
 	kvSource    string    // where the prompt's KV cache is, if it was prefilled
 	progress    progress
--- a/internal/transport/relay/service.go
+++ b/internal/transport/relay/service.go
@@ -48,6 +48,8 @@
 	tries    int
 	tried    []string
 	ticket   *once.Ticket
+
+	mayHaveRun bool // in an attempt that failed
 }
 
 // serveRoute serves a call to a plain service.
@@ -188,9 +190,14 @@
 		if failure == nil {
 			return outcome, nil
 		}
+		errand.mayHaveRun = errand.mayHaveRun || mayHaveRun(failure)
 		decision := relay.policy.Decide(*failure)
 		if decision.Action != retry.Again || !pause(ctx, decision.Delay) {
-			return nil, errandError(decision.Err, failure)
+			err := errandError(decision.Err, failure)
+			if errand.mayHaveRun {
+				err = neverNotRun(err)
+			}
+			return nil, err
 		}
 		relay.metrics.retries.Inc()
 	}
