Do not blame requests that meet a target which is down already

The neighbors' test failed in about one of seven runs: a stream that moved to the second crashed engine while that was still down was blamed for its loss, as its second, and quarantined with the guilty one. Failures at a target within three seconds of its last one are no evidence any more.

--- a/internal/transport/relay/attempt.go
+++ b/internal/transport/relay/attempt.go
@@ -156,6 +156,10 @@
 	}
 }
 
+// crashGrace is how long after its last failure a crashed target may still be
+// down.
+const crashGrace = 3 * time.Second
+
 // flight is one attempt under way, with what is to be told about its end.
 type flight struct {
 	id      uint64
@@ -240,8 +244,15 @@
 	return attempt
 }
 
-// suspect notes that a target crashed under the requests that it ran.
+// suspect notes that a target crashed under the requests that it ran. Requests
+// that fail there until it is back met the same crash or came after it, and
+// are not to blame.
 func (relay *Relay) suspect(target string) {
+	now := time.Now()
+	last, known := relay.crashes.Swap(target, now)
+	if at, ok := last.(time.Time); known && ok && now.Sub(at) < crashGrace {
+		return
+	}
 	suspects := relay.poison.Crashed(target)
 	if len(suspects) == 0 {
 		return
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -71,6 +71,7 @@
 
 	rates    atomic.Pointer[rates]
 	attempts sync.Map // uint64 to context.CancelCauseFunc
+	crashes  sync.Map // target ID to time.Time of the last failure there
 	sequence atomic.Uint64
 	prefix   string
 	stopping atomic.Bool
