--- a/internal/coordination/feed/isolation_test.go
+++ b/internal/coordination/feed/isolation_test.go
@@ -51,8 +51,8 @@
 			t.Fatal("note is not in force")
 		}
 		fleet.kill(last)
-		old = func(id string) bool { return id <= name(2) || id == last }
-		fleet.partition(func(from, to string) bool { return to == "store" || to != "list" && old(from) != old(to) })
+		amongOld := func(id string) bool { return id <= name(2) || id == last }
+		fleet.partition(func(from, to string) bool { return to == "store" || to != "list" && amongOld(from) != amongOld(to) })
 		fleet.start(last)
 		for range 20 {
 			time.Sleep(time.Second)
