--- a/internal/transport/entry/poll.go
+++ b/internal/transport/entry/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,16 +18,14 @@
 type poll struct {
 	address string
 	cancel  context.CancelFunc
-	last    engine.Load
-	asked   time.Time
 	known   bool
+	reading // the last one, if known
 }
 
 // report is a load report on its way to the watcher.
 type report struct {
 	target string
-	load   engine.Load
-	asked  time.Time
+	reading
 }
 
 // pollAllTargets is the size of a fleet up to which an instance polls all
@@ -53,7 +52,7 @@
 // lastOf returns the last load report of a target, empty if there is none.
 func (watcher *watcher) lastOf(id string) engine.Load {
 	if poll, ok := watcher.polls[id]; ok {
-		return poll.last
+		return poll.load
 	}
 	return engine.Load{}
 }
@@ -100,7 +99,7 @@
 		return
 	}
 	select {
-	case watcher.reports <- report{target: target.ID, load: load, asked: asked}:
+	case watcher.reports <- report{target: target.ID, reading: reading{load: load, asked: asked}}:
 	case <-ctx.Done():
 	}
 }
@@ -125,10 +124,10 @@
 	if !ok {
 		return
 	}
-	before, known := poll.last, poll.known
-	poll.last, poll.asked, poll.known = report.load, report.asked, true
+	before, known := poll.load, poll.known
+	poll.reading, poll.known = report.reading, true
 	watcher.instance.targets.Report(report.target, route.Load{
-		At: measuredAt(report),
+		At: measuredAt(report.reading),
 		Work: route.Work{
 			Requests:      int64(report.load.Running + report.load.Queued),
 			PrefillTokens: int64(report.load.PrefillTokens),
@@ -144,29 +143,19 @@
 }
 
 func changesUse(before, after engine.Load) bool {
-	if before.Draining != after.Draining || before.Changing != after.Changing || before.Role != after.Role {
-		return true
-	}
-	if len(before.Models) != len(after.Models) {
-		return true
-	}
-	for i, model := range after.Models {
-		if before.Models[i] != model {
-			return true
-		}
-	}
-	return false
+	return before.Draining != after.Draining || before.Changing != after.Changing ||
+		before.Role != after.Role || !slices.Equal(before.Models, after.Models)
 }
 
 // measuredAt places the target's time on this instance's clock. A report
 // cannot be younger than its answer nor older than the bound on lag, however
 // wrong the target's clock is.
-func measuredAt(report report) time.Time {
-	at := time.UnixMilli(report.load.AtUnixMS)
-	oldest := report.asked.Add(-maxLoadLag)
+func measuredAt(reading reading) time.Time {
+	at := time.UnixMilli(reading.load.AtUnixMS)
+	oldest := reading.asked.Add(-maxLoadLag)
 	switch {
-	case at.After(report.asked):
-		return report.asked
+	case at.After(reading.asked):
+		return reading.asked
 	case at.Before(oldest):
 		return oldest
 	default:
--- a/internal/transport/entry/snapshot.go
+++ b/internal/transport/entry/snapshot.go
@@ -30,16 +30,15 @@
 // reportOf turns a load report into what orders are decided by.
 func reportOf(reading reading) order.Report {
 	load := reading.load
-	report := order.Report{
+	return order.Report{
 		Phase:    phaseOf(load),
 		Role:     load.Role,
 		Models:   versions(load.Models),
 		Adapters: versions(load.Adapters),
 		Number:   load.Fence,
 		Boot:     load.Incarnation,
-		Age:      time.Since(measuredAt(report{load: load, asked: reading.asked})) + clockSkew,
+		Age:      time.Since(measuredAt(reading)) + clockSkew,
 	}
-	return report
 }
 
 func phaseOf(load engine.Load) order.Phase {
--- a/internal/transport/entry/watcher.go
+++ b/internal/transport/entry/watcher.go
@@ -166,11 +166,11 @@
 	if target.Kind != note.KindEngine || !ok || !poll.known {
 		return target
 	}
-	if poll.last.Role != "" {
-		target.Role = poll.last.Role
+	if poll.load.Role != "" {
+		target.Role = poll.load.Role
 	}
 	target.Models = nil
-	for _, model := range poll.last.Models {
+	for _, model := range poll.load.Models {
 		target.Models = append(target.Models, model.Name)
 	}
 	return target
@@ -195,7 +195,7 @@
 	next := &snapshot{targets: watcher.listedOr(catalog), loads: map[string]reading{}}
 	for id, poll := range watcher.polls {
 		if poll.known {
-			next.loads[id] = reading{load: poll.last, asked: poll.asked}
+			next.loads[id] = poll.reading
 		}
 	}
 	watcher.snapshot.Store(next)
