Serve the users' platform through an adapter: first whole path

Cause: mangopier spoke only its own interface; the users' platform has its own requests, store, list of targets and duties. platform/ translates these into types of package site; place, shape, tally, duty, follow, roster, mesh, proxy and node decide, keep and serve; cmd/mangopierd is the program.

--- /dev/null
+++ b/internal/coordination/place/prompt.go
@@ -0,0 +1,177 @@
+package place
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mangopier.example/mangopier/internal/protocol/site"
+)
+
+// Figures of the engines on the sites' sheets. Each target's pace corrects
+// them as its answers come.
+const (
+	tokensPerMS     = 55.0 // prompt tokens read per millisecond: 51.1 and 64.2
+	pairsMSPerM     = 0.65 // milliseconds per million pairs of tokens
+	setupMS         = 5.0  // of one reading, with the way there and back
+	moveSetupMS     = 4.0  // of one move, with the way there and back
+	crossingFactor  = 2.0  // a move between data centres against one within
+	crossingPenalty = 15.0 // milliseconds that a move between data centres counts more, for its price
+	stepMS          = 5.0  // of an engine between tokens
+	memoryMost      = 0.85 // share of an engine's memory to plan for
+	spreadMS        = 20.0 // by which the preferred engines of a new prompt differ
+	paceGain        = 0.2  // of one observation in the smoothed pace
+	paceLeast       = 0.5
+	paceMost        = 20.0
+)
+
+// Reading is the choice of an engine to read a prompt.
+type Reading struct {
+	Target site.Target
+	AheadMS,
+	WorkMS float64 // expected wait before the work, and the work
+	Cached int // tokens that the engine is taken to keep
+
+	parts []namedPart
+	tier  int
+	begun time.Time
+}
+
+// ExpectedMS returns the expected time until the prompt is read.
+func (reading *Reading) ExpectedMS() float64 { return reading.AheadMS + reading.WorkMS }
+
+// Read chooses the engine that is expected to have read a prompt first and
+// counts the work there until Release. Engines in except are left out. It
+// returns false if there is no engine to choose.
+func (book *Book) Read(service string, prompt *site.Prompt, urgency int, except []string) (Reading, bool) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	parts := nameParts(prompt)
+	tier := tierOf(urgency)
+	now := time.Now()
+	var best *state
+	var choice Reading
+	bestCost := 0.0
+	for _, state := range book.services[service] {
+		if state.Stage != site.Prefill || state.engine == nil || !state.usable(now) || slices.Contains(except, state.ID) {
+			continue
+		}
+		cached := min(state.cache.kept(parts), max(0, prompt.Tokens-1))
+		work := state.pace * workMS(prompt.Tokens, cached)
+		ahead := state.pace * (state.own.ahead(tier) + state.others.ahead(tier))
+		cost := (ahead+work)/state.weight + spreadMS*preference(state.ID, parts)
+		if best == nil || cost < bestCost {
+			best, bestCost = state, cost
+			choice = Reading{Target: state.Target, AheadMS: ahead, WorkMS: work, Cached: cached}
+		}
+	}
+	if best == nil {
+		return Reading{}, false
+	}
+	choice.parts, choice.tier, choice.begun = parts, tier, now
+	best.own.WorkMS[tier] += choice.WorkMS
+	best.cache.use(parts)
+	book.reads = append(book.reads, Read{Target: best.ID, Parts: parts})
+	return choice, true
+}
+
+// ReadDone ends the work of a reading. If the engine answered, its pace is
+// corrected.
+func (book *Book) ReadDone(reading *Reading, answered bool) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	state, ok := book.targets[reading.Target.ID]
+	if !ok {
+		return
+	}
+	state.own.WorkMS[reading.tier] = max(0, state.own.WorkMS[reading.tier]-reading.WorkMS)
+	if !answered {
+		return
+	}
+	took := float64(time.Since(reading.begun)) / float64(time.Millisecond)
+	ratio := took / max(1, reading.ExpectedMS())
+	state.pace += paceGain * (min(max(ratio*state.pace, paceLeast), paceMost) - state.pace)
+}
+
+// workMS returns how long an engine reads a prompt of which it keeps a part.
+func workMS(tokens, cached int) float64 {
+	fresh := float64(tokens - cached)
+	pairs := fresh * (float64(cached) + fresh/2) / 1e6
+	return setupMS + fresh/tokensPerMS + pairsMSPerM*pairs
+}
+
+// preference returns a number from 0 to 1 by which all instances prefer the
+// same engine for a prompt that none keeps.
+func preference(id string, parts []namedPart) float64 {
+	if len(parts) == 0 {
+		return 0
+	}
+	lead := parts[max(0, len(parts)-2)].Name
+	hash := xxhash.Sum64String(id + strconv.FormatUint(lead, 16))
+	return float64(hash>>11) / (1 << 53)
+}
+
+// Run is a request or call in flight at a target.
+type Run struct {
+	Target site.Target
+	MoveMS float64 // expected time to fetch the prompt, 0 for a call
+	load   Load
+}
+
+// Generate chooses the engine that makes the tokens of a prompt which another
+// engine in the data centre from has read, and counts the run there until
+// Ended. Engines without memory for it are chosen only if none has any.
+func (book *Book) Generate(service string, prompt *site.Prompt, from string, except []string) (Run, bool) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	now := time.Now()
+	need := prompt.Tokens + prompt.MaxOutput
+	var best *state
+	bestCost, bestMove := 0.0, 0.0
+	for _, state := range book.services[service] {
+		if state.Stage != site.Decode || state.engine == nil || !state.usable(now) || slices.Contains(except, state.ID) {
+			continue
+		}
+		cost, move := state.generationCost(need, prompt.Tokens, from)
+		if best == nil || cost < bestCost {
+			best, bestCost, bestMove = state, cost, move
+		}
+	}
+	if best == nil {
+		return Run{}, false
+	}
+	run := Run{Target: best.Target, MoveMS: bestMove, load: Load{Runs: 1, Tokens: need}}
+	best.own.add(&run.load, 1)
+	return run, true
+}
+
+// fullMS is what an engine without memory for one more run costs.
+const fullMS = 10_000
+
+func (state *state) generationCost(need, tokens int, from string) (cost, move float64) {
+	engine := state.engine
+	bits := float64(tokens) * engine.TokenBytes * 8
+	move = moveSetupMS + bits/(max(1, engine.LinkMbps)*1e3)
+	if from != state.DataCenter {
+		move = move*crossingFactor + crossingPenalty
+	}
+	tokensHeld := float64(state.own.Tokens + state.others.Tokens + need)
+	runs := state.own.Runs + state.others.Runs
+	held := tokensHeld / max(1, memoryMost*float64(engine.Memory))
+	cost = move + stepMS*(1+held)
+	if held > 1 || (engine.Slots > 0 && runs >= engine.Slots) {
+		cost += fullMS * held
+	}
+	return cost * state.pace / state.weight, move
+}
+
+// Ended ends a run.
+func (book *Book) Ended(run *Run) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	if state, ok := book.targets[run.Target.ID]; ok {
+		state.own.add(&run.load, -1)
+	}
+}
--- /dev/null
+++ b/internal/coordination/place/share.go
@@ -0,0 +1,138 @@
+package place
+
+import (
+	"time"
+
+	"mangopier.example/mangopier/internal/protocol/site"
+)
+
+// Share is what an instance tells the others of its work in flight.
+type Share struct {
+	Loads []TargetLoad `cbor:"1,keyasint,omitempty"`
+	Reads []Read       `cbor:"2,keyasint,omitempty"` // since the last share
+}
+
+// TargetLoad is the work of one instance at a target.
+type TargetLoad struct {
+	Target string         `cbor:"1,keyasint"`
+	WorkMS [tiers]float32 `cbor:"2,keyasint"`
+	Runs   int            `cbor:"3,keyasint"`
+	Tokens int            `cbor:"4,keyasint"`
+}
+
+// Read says that an engine was sent a prompt with these parts.
+type Read struct {
+	Target string      `cbor:"1,keyasint"`
+	Parts  []namedPart `cbor:"2,keyasint"`
+}
+
+// peer is the newest share of another instance.
+type peer struct {
+	share Share
+	heard time.Time
+}
+
+// shareAge is how long a share counts after it came. Instances share several
+// times in it.
+const shareAge = 2 * time.Second
+
+// mostReads bounds the reads of one share.
+const mostReads = 64
+
+// Export returns the share of this instance.
+func (book *Book) Export() Share {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	var share Share
+	for id, state := range book.targets {
+		if state.own == (Load{}) {
+			continue
+		}
+		load := TargetLoad{Target: id, Runs: state.own.Runs, Tokens: state.own.Tokens}
+		for tier, work := range state.own.WorkMS {
+			load.WorkMS[tier] = float32(work)
+		}
+		share.Loads = append(share.Loads, load)
+	}
+	share.Reads = book.reads[max(0, len(book.reads)-mostReads):]
+	book.reads = nil
+	return share
+}
+
+// Merge takes the share of another instance in the place of its last one.
+func (book *Book) Merge(instance string, share Share) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	now := time.Now()
+	for _, read := range share.Reads {
+		if state, ok := book.targets[read.Target]; ok && state.cache != nil {
+			state.cache.use(read.Parts)
+		}
+	}
+	share.Reads = nil
+	book.peers[instance] = &peer{share: share, heard: now}
+	book.sumPeers(now)
+}
+
+// sumPeers adds up what the others have in flight.
+func (book *Book) sumPeers(now time.Time) {
+	for _, state := range book.targets {
+		state.others = Load{}
+	}
+	for instance, peer := range book.peers {
+		if now.Sub(peer.heard) > shareAge {
+			delete(book.peers, instance)
+			continue
+		}
+		for i := range peer.share.Loads {
+			book.addPeerLoad(&peer.share.Loads[i])
+		}
+	}
+}
+
+func (book *Book) addPeerLoad(told *TargetLoad) {
+	state, ok := book.targets[told.Target]
+	if !ok {
+		return
+	}
+	load := Load{Runs: told.Runs, Tokens: told.Tokens}
+	for tier, work := range told.WorkMS {
+		load.WorkMS[tier] = float64(work)
+	}
+	state.others.add(&load, 1)
+}
+
+// Summary is the work in flight in one service, of all instances.
+type Summary struct {
+	Prefill, Decode, Plain int     // targets in use
+	WorkMS                 float64 // prompts to read
+	Runs                   int
+	Tokens                 int
+	Memory                 int // of the engines that make tokens
+}
+
+// Summarize adds up the work in flight in a service.
+func (book *Book) Summarize(service string) Summary {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	var summary Summary
+	now := time.Now()
+	for _, state := range book.services[service] {
+		if !state.usable(now) {
+			continue
+		}
+		switch state.Stage {
+		case site.Prefill:
+			summary.Prefill++
+		case site.Decode:
+			summary.Decode++
+			summary.Memory += state.engine.Memory
+		case site.NoStage:
+			summary.Plain++
+		}
+		summary.WorkMS += state.own.ahead(tiers-1) + state.others.ahead(tiers-1)
+		summary.Runs += state.own.Runs + state.others.Runs
+		summary.Tokens += state.own.Tokens + state.others.Tokens
+	}
+	return summary
+}
--- a/internal/protocol/code/code.go
+++ b/internal/protocol/code/code.go
@@ -134,6 +134,16 @@
 	return strconv.Itoa(int(code)) + " " + Lookup(code).Name
 }
 
+// Label returns the number of the code for a metric, and of an HTTP status
+// only its class, so that targets cannot add labels.
+func (code Code) Label() string {
+	const statuses = 1000
+	if code > 0 && code < statuses {
+		return strconv.Itoa(int(code)/100) + "xx"
+	}
+	return strconv.Itoa(int(code))
+}
+
 var entries = []Entry{
 	{MalformedRequest, "malformed-request", http.StatusBadRequest, NotRun, 0, "The request line, headers or body cannot be read."},
 	{BodyTooLarge, "body-too-large", http.StatusRequestEntityTooLarge, NotRun, 0, "The body is larger than the limit."},
--- a/internal/protocol/code/error.go
+++ b/internal/protocol/code/error.go
@@ -1,6 +1,8 @@
 package code
 
 import (
+	"time"
+
 	"github.com/ansel1/merry/v2"
 )
 
@@ -10,6 +12,7 @@
 	codeKey errorKey = iota
 	runKey
 	retryKey
+	delayKey
 )
 
 // Errorf returns an error with a code. The format follows fmt.Sprintf; a
@@ -67,3 +70,17 @@
 	}
 	return Lookup(Of(err)).Retry
 }
+
+// WithRetryDelay returns err with another retry hint than its code gives, to
+// the millisecond.
+func WithRetryDelay(err error, delay time.Duration) error {
+	return merry.Wrap(err, merry.WithValue(delayKey, delay))
+}
+
+// RetryDelayOf returns the retry hint of err, 0 for never.
+func RetryDelayOf(err error) time.Duration {
+	if delay, ok := merry.Value(err, delayKey).(time.Duration); ok {
+		return delay
+	}
+	return time.Duration(RetryOf(err)) * time.Second
+}
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -46,3 +46,17 @@
 	// Fetch returns the data of key, or an error with code.RowMissing.
 	Fetch(ctx context.Context, key string) ([]byte, error)
 }
+
+// Change is a row that changed, or that a list found.
+type Change struct {
+	Key     string
+	Value   []byte // empty if it could not be read
+	Version uint64
+	Deleted bool
+}
+
+// Page is the rows of a table, or what changed in it.
+type Page struct {
+	Changes []Change
+	Version uint64 // of the table, to ask for later changes
+}
--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -22,6 +22,7 @@
 
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/engine"
+	"mangopier.example/mangopier/internal/transport/dial"
 )
 
 const (
@@ -51,6 +52,10 @@
 	Body       []byte
 	Attempt    string // identifies the attempt; the answer has to echo it
 	Repeatable bool   // may share a kept connection
+	// Kept lets a call that is not repeatable use a kept connection. It saves
+	// the set-up, and costs a call now and then whose outcome is unknown, as
+	// the target may have closed the connection meanwhile.
+	Kept bool
 }
 
 // Answer is a target's answer whose body is still to be read.
@@ -86,19 +91,37 @@
 	return func(client *Client) { client.probeTimeout = timeout }
 }
 
+// WithHeaders sets the headers by which targets echo the attempt and state
+// that they did not run a call.
+func WithHeaders(attempt, notRun string) Option {
+	return func(client *Client) { client.attemptHeader, client.notRunHeader = attempt, notRun }
+}
+
+// WithIdleTimeout sets how long an unused connection is kept.
+func WithIdleTimeout(timeout time.Duration) Option {
+	return func(client *Client) { client.idleTimeout = timeout }
+}
+
 // Client calls targets, each over connections of its own.
 type Client struct {
-	dialer       net.Dialer
-	probeTimeout time.Duration
-	pools        sync.Map        // address to *http.Transport
-	single       *http.Transport // a connection for each call
+	dialer        *net.Dialer
+	probeTimeout  time.Duration
+	idleTimeout   time.Duration
+	attemptHeader string
+	notRunHeader  string
+
+	pools  sync.Map        // address to *http.Transport
+	single *http.Transport // a connection for each call
 }
 
 // New returns a client without connections.
 func New(opts ...Option) *Client {
 	client := &Client{
-		dialer:       net.Dialer{Timeout: defaultDialTimeout},
-		probeTimeout: defaultProbeTimeout,
+		dialer:        dial.New(dial.WithTimeout(defaultDialTimeout)),
+		probeTimeout:  defaultProbeTimeout,
+		idleTimeout:   idleTimeout,
+		attemptHeader: engine.HeaderAttempt,
+		notRunHeader:  engine.HeaderNotRun,
 	}
 	for _, opt := range opts {
 		opt(client)
@@ -114,7 +137,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
-	request, err := newRequest(ctx, call)
+	request, err := client.newRequest(ctx, call)
 	if err != nil {
 		return nil, &Failure{State: NotSent, Err: err}
 	}
@@ -122,7 +145,7 @@
 	if err != nil {
 		return nil, &Failure{State: stateOf(&sent), Err: causeOf(ctx, err)}
 	}
-	if echo := answer.Header.Get(engine.HeaderAttempt); echo != "" && echo != call.Attempt {
+	if echo := answer.Header.Get(client.attemptHeader); echo != "" && echo != call.Attempt {
 		_ = answer.Body.Close()
 		client.Drop(call.Address)
 		return nil, &Failure{State: MayHaveRun, Err: errCrossed}
@@ -131,7 +154,7 @@
 		Status:  answer.StatusCode,
 		Header:  answer.Header,
 		Body:    answer.Body,
-		Refused: answer.Header.Get(engine.HeaderNotRun) != "",
+		Refused: answer.Header.Get(client.notRunHeader) != "",
 	}, nil
 }
 
@@ -230,7 +253,7 @@
 }
 
 func (client *Client) transport(call *Call) *http.Transport {
-	if !call.Repeatable {
+	if !call.Repeatable && !call.Kept {
 		return client.single
 	}
 	if pool, ok := client.pools.Load(call.Address); ok {
@@ -239,7 +262,7 @@
 	pool, _ := client.pools.LoadOrStore(call.Address, &http.Transport{
 		DialContext:         client.dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerTarget,
-		IdleConnTimeout:     idleTimeout,
+		IdleConnTimeout:     client.idleTimeout,
 		DisableCompression:  true,
 	})
 	return asTransport(pool)
@@ -250,23 +273,27 @@
 	return transport
 }
 
-// newRequest gives the body in a form that the transport cannot rewind, so
-// that it never sends a call twice.
-func newRequest(ctx context.Context, call *Call) (*http.Request, error) {
+// newRequest gives the body, also an empty one, in a form that the transport
+// cannot rewind, so that it never sends a call twice.
+func (client *Client) newRequest(ctx context.Context, call *Call) (*http.Request, error) {
 	var body io.Reader
-	if len(call.Body) > 0 {
+	switch {
+	case len(call.Body) > 0:
 		body = bytes.NewReader(call.Body)
+	case call.Kept && !call.Repeatable:
+		body = io.NopCloser(bytes.NewReader(nil))
 	}
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, body)
 	if err != nil {
 		return nil, err
 	}
 	request.GetBody = nil
+	request.ContentLength = int64(len(call.Body))
 	for name, values := range call.Header {
 		request.Header[name] = values
 	}
 	if call.Attempt != "" {
-		request.Header.Set(engine.HeaderAttempt, call.Attempt)
+		request.Header.Set(client.attemptHeader, call.Attempt)
 	}
 	return request, nil
 }
--- a/internal/transport/front/refusal.go
+++ b/internal/transport/front/refusal.go
@@ -75,8 +75,8 @@
 func setHeaders(header http.Header, err error) {
 	header.Set(HeaderCode, strconv.Itoa(int(code.Of(err))))
 	header.Set(HeaderRun, code.RunOf(err).String())
-	if seconds := code.RetryOf(err); seconds > 0 {
-		header.Set(HeaderRetry, strconv.Itoa(seconds))
+	if delay := code.RetryDelayOf(err); delay > 0 {
+		header.Set(HeaderRetry, strconv.FormatFloat(delay.Seconds(), 'f', -1, 64))
 	}
 }
 
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,12 @@
 	return func(server *Server) { server.limits = limits }
 }
 
+// WithPanicReport sets who is told of a handler that panicked. Its request and
+// connection end, the others go on.
+func WithPanicReport(report func(cause any)) Option {
+	return func(server *Server) { server.onPanic = report }
+}
+
 // Server serves HTTP/1.1 on one address. Its handler calls WriteHeader before
 // it writes a body.
 type Server struct {
@@ -67,12 +74,13 @@
 	active    atomic.Int64
 	opened    atomic.Uint64
 	stopOnce  sync.Once
+	onPanic   func(cause any)
 }
 
 // New returns a server of handler for the address, which is IP:port; port 0
 // takes any free one.
 func New(address string, handler http.Handler, opts ...Option) *Server {
-	server := &Server{limits: DefaultLimits(), handler: handler, address: address}
+	server := &Server{limits: DefaultLimits(), handler: handler, address: address, onPanic: func(any) {}}
 	for _, opt := range opts {
 		opt(server)
 	}
@@ -179,7 +187,25 @@
 	if !ok {
 		return
 	}
+	defer server.recover(response)
 	server.handler.ServeHTTP(writer{response}, r.WithContext(guard.ctx))
+	if strings.EqualFold(response.Header().Get("Connection"), "close") {
+		r.Close = true
+	}
+}
+
+// recover ends the request of a handler that panicked, and its connection.
+// http.ErrAbortHandler breaks an answer off on purpose; anything else is
+// reported.
+func (server *Server) recover(response *nbhttp.Response) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler { //nolint:errorlint,err113 // a panic's value, by identity
+		server.onPanic(cause)
+	}
+	_ = response.Parser.Conn.Close()
 }
 
 // writer hides the ReadFrom method of the response, which io.Copy would
--- /dev/null
+++ b/internal/transport/node/heartbeat.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mangopier.example/mangopier/internal/coordination/place"
+	"mangopier.example/mangopier/internal/coordination/tally"
+	"mangopier.example/mangopier/internal/transport/mesh"
+)
+
+// heartbeat is what an instance tells the others several times a second.
+type heartbeat struct {
+	Instance string         `cbor:"1,keyasint"`
+	Boot     uint64         `cbor:"2,keyasint"`
+	Manifest int64          `cbor:"3,keyasint"` // version in force
+	Share    place.Share    `cbor:"4,keyasint"`
+	Usage    []tally.Counts `cbor:"5,keyasint,omitempty"`
+	Offset   int64          `cbor:"6,keyasint,omitempty"` // nanoseconds from the store's steady clock to the time of day, 0 if unknown
+}
+
+func (node *Node) source() tally.Source {
+	return tally.Source{Instance: node.settings.Instance, Boot: node.boot}
+}
+
+// compose returns the next heartbeat.
+func (node *Node) compose() []byte {
+	beat := heartbeat{
+		Instance: node.settings.Instance, Boot: node.boot,
+		Share: node.book.Export(), Usage: node.meter.Export(),
+	}
+	if manifest := node.proxy.Manifest(); manifest != nil {
+		beat.Manifest = manifest.Version
+	}
+	if steady, ok := node.steady(); ok {
+		offset := time.Duration(time.Now().UnixNano()) - steady
+		node.meter.SetOffset(node.source(), offset)
+		beat.Offset = int64(offset)
+	}
+	node.countMembers()
+	data, err := cbor.Marshal(beat)
+	if err != nil {
+		node.logger.Error().Str("part", "node").Err(err).Msg("heartbeat cannot be written")
+		return nil
+	}
+	return data
+}
+
+// receive takes a heartbeat of another instance.
+func (node *Node) receive(datagram []byte, from netip.AddrPort) {
+	var beat heartbeat
+	if err := cbor.Unmarshal(datagram, &beat); err != nil || beat.Instance == "" {
+		node.logger.Warn().Str("part", "node").Err(err).Stringer("from", from).Msg("datagram is no heartbeat")
+		return
+	}
+	if beat.Instance == node.settings.Instance {
+		return
+	}
+	node.mesh.Add(mesh.Member{Instance: beat.Instance, Address: from})
+	node.mesh.Heard(beat.Instance)
+	node.book.Merge(beat.Instance, beat.Share)
+	source := tally.Source{Instance: beat.Instance, Boot: beat.Boot}
+	node.meter.Merge(source, beat.Usage)
+	if beat.Offset != 0 {
+		node.meter.SetOffset(source, time.Duration(beat.Offset))
+	}
+}
+
+// countMembers divides the budget of extra calls anew when instances come or
+// go.
+func (node *Node) countMembers() {
+	live := int64(len(node.mesh.Live()))
+	if before := node.members.Swap(live); before != live {
+		node.proxy.ResetBudgets()
+	}
+}
--- /dev/null
+++ b/internal/transport/node/node.go
@@ -0,0 +1,413 @@
+// Package node assembles one entry instance of a site: it follows the manifest
+// and the list of targets, exchanges heartbeats with the other instances,
+// contests the lease of the duties, and serves callers.
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+
+	"mangopier.example/mangopier/internal/coordination/duty"
+	"mangopier.example/mangopier/internal/coordination/follow"
+	"mangopier.example/mangopier/internal/coordination/health"
+	"mangopier.example/mangopier/internal/coordination/lease"
+	"mangopier.example/mangopier/internal/coordination/place"
+	"mangopier.example/mangopier/internal/coordination/tally"
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/site"
+	"mangopier.example/mangopier/internal/state/roster"
+	"mangopier.example/mangopier/internal/state/table"
+	"mangopier.example/mangopier/internal/transport/back"
+	"mangopier.example/mangopier/internal/transport/front"
+	"mangopier.example/mangopier/internal/transport/mesh"
+	"mangopier.example/mangopier/internal/transport/proxy"
+)
+
+// Store is the platform's store.
+type Store interface {
+	Get(ctx context.Context, key string) (table.Row, error)
+	Commit(ctx context.Context, writes ...table.Write) error
+	Put(ctx context.Context, key string, value []byte) error
+	Remove(ctx context.Context, keys ...string) error
+	// Own returns the system's own rows whose keys begin with prefix.
+	Own(ctx context.Context, prefix string) (table.Page, error)
+	// Manifests and Targets are the tables that others write.
+	Manifests() follow.Source
+	Targets() follow.Source
+	// Clock returns the newest reading of the store's clock, nil before the
+	// first.
+	Clock() *site.ClockReading
+}
+
+// Control sends duty calls and orders.
+type Control interface {
+	duty.Platform
+	tally.Sender
+}
+
+// Wire translates what the platform sends.
+type Wire interface {
+	proxy.Wire
+	NotRunHeader() string
+	Manifest(value []byte) (*site.Manifest, error)
+	Target(id string, value []byte) (site.Target, error)
+	IsReadyCheck(r *http.Request) bool
+}
+
+const (
+	// leaseDuty names the one lease, under which all duties lie.
+	leaseDuty = "duties"
+	// idleKept is how long an unused connection to a target is kept. Targets
+	// close theirs after some seconds.
+	idleKept = 4 * time.Second
+	// bodyShare is the part of the memory that bodies on their way in may
+	// take.
+	bodyShare = 6
+	// memberRead is the time between looks at the list of instances;
+	// heartbeats make new ones known at once.
+	memberRead = 30 * time.Second
+	// memberRetry is the wait after a failed call for the list.
+	memberRetry = 500 * time.Millisecond
+	// leastOut is how long a stopping instance serves on: the balancer takes
+	// it out after two checks, a second apart.
+	leastOut = 3200 * time.Millisecond
+	// endSlack is kept of the grace for the end of the process.
+	endSlack = 700 * time.Millisecond
+	// ejection and ramp are how long an unhealthy target gets nothing, and
+	// how long its return takes; troubles on the sites last some 5 s.
+	ejection = 1500 * time.Millisecond
+	ramp     = 2 * time.Second
+)
+
+// Node is one entry instance.
+type Node struct {
+	settings site.Settings
+	store    Store
+	control  Control
+	wire     Wire
+	logger   zerolog.Logger
+	registry *prometheus.Registry
+	boot     uint64
+
+	client  *back.Client
+	book    *place.Book
+	tracker *health.Tracker
+	meter   *tally.Meter
+	proxy   *proxy.Proxy
+	roster  *roster.Roster
+	mesh    *mesh.Mesh
+	lease   *lease.Lease
+	servers []*front.Server
+	metrics *http.Server
+	served  <-chan struct{} // closed when the metrics are no longer served
+
+	targets  atomic.Pointer[[]site.Target]
+	stopping atomic.Bool
+	members  atomic.Int64
+	cancel   context.CancelFunc
+	ended    []<-chan struct{}
+	leased   <-chan error
+}
+
+// New returns an instance that does nothing before Start.
+func New(settings site.Settings, store Store, control Control, wire Wire, logger zerolog.Logger) *Node {
+	node := &Node{
+		settings: settings, store: store, control: control, wire: wire,
+		logger:   logger,
+		registry: prometheus.NewRegistry(),
+		boot:     rand.Uint64(),
+		book:     place.New(place.WithDataCenter(settings.DataCenter)),
+		tracker:  health.New(health.WithEjection(ejection, ramp)),
+		meter:    tally.New(settings.Bounds.UsageWindow),
+	}
+	node.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	node.client = back.New(
+		back.WithHeaders(wire.AttemptHeader(), wire.NotRunHeader()),
+		back.WithIdleTimeout(idleKept))
+	node.proxy = proxy.New(wire, node.client, node.book, node.tracker, node,
+		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
+		proxy.WithMembers(func() int { return int(node.members.Load()) }))
+	node.roster = roster.New(wire.Target, node.setTargets, logger)
+	node.mesh = mesh.New(settings.Instance, node.compose, node.receive, logger)
+	node.lease = lease.New(store, leaseDuty, settings.Instance,
+		lease.WithTerm(settings.Bounds.Lease), lease.WithLogger(logger),
+		lease.WithRegisterer(node.registry), lease.WithStandby(node.standby))
+	return node
+}
+
+// Start listens and begins to follow, and returns once that is under way.
+func (node *Node) Start(ctx context.Context) error {
+	ctx, node.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	if err := node.listen(ctx); err != nil {
+		node.cancel()
+		return err
+	}
+	manifests := follow.New("manifest", node.store.Manifests(), manifestCopy{node}, node.logger)
+	targets := follow.New("targets", node.store.Targets(), node.roster, node.logger)
+	keeper := duty.New(duty.Config{
+		Instance: node.settings.Instance, Lease: node.lease, Platform: node.control,
+		Reporter: tally.NewReporter(node.meter, node.store, node.control, node.settings.Instance,
+			node.settings.Bounds.UsageLate, node.logger),
+		Situation: node.situation, Duties: node.settings.Duties, Term: node.settings.Bounds.Lease, Logger: node.logger,
+	})
+	node.ended = append(node.ended, manifests.Start(ctx), targets.Start(ctx), node.keepMembers(ctx), keeper.Start(ctx))
+	node.leased = node.lease.Start(ctx)
+	return nil
+}
+
+func (node *Node) listen(ctx context.Context) error {
+	limits := front.DefaultLimits()
+	limits.AllBodiesBytes = node.settings.Memory / bodyShare
+	report := front.WithPanicReport(func(cause any) {
+		node.logger.Error().Str("part", "front").Str("cause", fmt.Sprint(cause)).Msg("a handler panicked")
+	})
+	node.servers = []*front.Server{
+		front.New(node.settings.FrontAddress, node.proxy, front.WithLimits(limits), report),
+		front.New(node.settings.ReadyAddress, http.HandlerFunc(node.serveReady), report),
+	}
+	for _, server := range node.servers {
+		if err := server.Start(); err != nil {
+			return code.Wrap(err, code.SettingsInvalid, "listen")
+		}
+	}
+	address, err := netip.ParseAddr(node.settings.Address)
+	if err != nil {
+		return code.Wrap(err, code.SettingsInvalid, "own address")
+	}
+	done, err := node.mesh.Start(ctx, netip.AddrPortFrom(address, uint16(node.settings.PeerPort)))
+	if err != nil {
+		return code.Wrap(err, code.SettingsInvalid, "peer port")
+	}
+	node.ended = append(node.ended, done)
+	return node.serveMetrics()
+}
+
+// Ready reports whether the instance may take callers.
+func (node *Node) Ready() bool {
+	return !node.stopping.Load() && node.proxy.Manifest() != nil && node.roster.Listed()
+}
+
+func (node *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	status := http.StatusServiceUnavailable
+	switch {
+	case !node.wire.IsReadyCheck(r):
+		status = http.StatusNotFound
+	case node.Ready():
+		status = http.StatusOK
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// Stop takes the instance out of the balancer's rotation, serves on until that
+// has happened and nothing runs any more, at most for the grace, and ends. It
+// returns how many requests were cut.
+func (node *Node) Stop() int64 {
+	begun := time.Now()
+	node.stopping.Store(true)
+	node.proxy.Drain()
+	limit := begun.Add(node.settings.Bounds.Grace - endSlack)
+	for time.Now().Before(limit) && (time.Since(begun) < leastOut || node.servers[0].Active() > 0) {
+		time.Sleep(drainLook)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	cut := node.servers[0].Stop(ctx)
+	node.servers[1].Stop(ctx)
+	node.end()
+	return cut
+}
+
+// drainLook is the time between looks at the requests in flight.
+const drainLook = 20 * time.Millisecond
+
+// end stops all goroutines.
+func (node *Node) end() {
+	removeCtx, cancel := context.WithTimeout(context.Background(), endSlack/2)
+	defer cancel()
+	if err := node.store.Remove(removeCtx, memberPrefix+node.settings.Instance); err != nil {
+		node.logger.Warn().Err(err).Str("part", "node").Msg("own row is not removed")
+	}
+	node.cancel()
+	limit := time.After(endSlack / 2)
+	for _, done := range node.ended {
+		select {
+		case <-done:
+		case <-limit:
+			return
+		}
+	}
+	select {
+	case <-node.leased:
+	case <-limit:
+	}
+	if node.metrics != nil {
+		_ = node.metrics.Close()
+		<-node.served
+	}
+}
+
+// Began counts a request that began to run.
+func (node *Node) Began(team string) { node.meter.Count(team, node.now()) }
+
+// now returns true time as far as it is known.
+func (node *Node) now() time.Time {
+	now, _ := node.trueTime()
+	return now
+}
+
+func (node *Node) trueTime() (time.Time, bool) {
+	steady, ok := node.steady()
+	if !ok {
+		return time.Now(), false
+	}
+	offset, ok := node.meter.Offset()
+	if !ok {
+		return time.Now(), false
+	}
+	return time.Unix(0, int64(steady+offset)), true
+}
+
+// steady returns the store's steady clock.
+func (node *Node) steady() (time.Duration, bool) {
+	reading := node.store.Clock()
+	if reading == nil {
+		return 0, false
+	}
+	return reading.Steady + time.Since(reading.Read), true
+}
+
+func (node *Node) situation() duty.Situation {
+	situation := duty.Situation{Manifest: node.proxy.Manifest()}
+	if targets := node.targets.Load(); targets != nil {
+		situation.Targets = *targets
+	}
+	situation.Now, situation.Timely = node.trueTime()
+	return situation
+}
+
+func (node *Node) setTargets(targets []site.Target) {
+	node.targets.Store(&targets)
+	node.updateBook()
+}
+
+func (node *Node) updateBook() {
+	manifest, targets := node.proxy.Manifest(), node.targets.Load()
+	if manifest == nil || targets == nil {
+		return
+	}
+	node.book.SetTargets(*targets, manifest.Services)
+	members := make([]health.Member, 0, len(*targets))
+	for _, target := range *targets {
+		members = append(members, health.Member{Target: target.ID, Group: target.Service + "/" + target.Stage.String()})
+	}
+	node.tracker.SetMembers(members)
+	node.book.SetWeights(node.tracker.Weights())
+}
+
+// manifestCopy takes the manifest's row.
+type manifestCopy struct{ node *Node }
+
+// Replace takes the row as it is.
+func (copy manifestCopy) Replace(changes []table.Change, _ bool) { copy.Update(changes) }
+
+// Update takes a changed row.
+func (copy manifestCopy) Update(changes []table.Change) {
+	node := copy.node
+	for _, change := range changes {
+		if change.Deleted {
+			continue
+		}
+		manifest, err := node.wire.Manifest(change.Value)
+		if err != nil {
+			node.logger.Error().Str("part", "node").Err(err).Uint64("row-version", change.Version).Msg("manifest cannot be read")
+			continue
+		}
+		if node.proxy.SetManifest(manifest) {
+			node.logger.Info().Str("part", "node").Int64("manifest", manifest.Version).Int("routes", len(manifest.Routes)).
+				Int("keys", len(manifest.Teams)).Uint64("row-version", change.Version).Msg("manifest in force")
+			node.updateBook()
+		}
+	}
+}
+
+const memberPrefix = "member/"
+
+// memberRow is the row by which the instances find each other.
+type memberRow struct {
+	Address string `json:"address"`
+}
+
+// keepMembers writes the instance's own row and reads those of the others.
+func (node *Node) keepMembers(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		written := false
+		for ctx.Err() == nil {
+			wait := memberRead
+			if !written {
+				written = node.writeMember(ctx)
+			}
+			if !node.readMembers(ctx) || !written {
+				wait = memberRetry
+			}
+			timer := time.NewTimer(wait)
+			select {
+			case <-ctx.Done():
+			case <-timer.C:
+			}
+			timer.Stop()
+		}
+	}()
+	return done
+}
+
+func (node *Node) writeMember(ctx context.Context) bool {
+	address := net.JoinHostPort(node.settings.Address, fmt.Sprint(node.settings.PeerPort))
+	value, err := json.Marshal(memberRow{Address: address})
+	if err == nil {
+		err = node.store.Put(ctx, memberPrefix+node.settings.Instance, value)
+	}
+	if err != nil {
+		node.logger.Warn().Str("part", "node").Err(err).Msg("own row is not written")
+	}
+	return err == nil
+}
+
+func (node *Node) readMembers(ctx context.Context) bool {
+	page, err := node.store.Own(ctx, memberPrefix)
+	if err != nil {
+		return false
+	}
+	for _, change := range page.Changes {
+		var row memberRow
+		err := json.Unmarshal(change.Value, &row)
+		address, failure := netip.ParseAddrPort(row.Address)
+		if err != nil || failure != nil {
+			node.logger.Warn().Str("part", "node").Str("row", change.Key).Msg("row names no instance")
+			continue
+		}
+		node.mesh.Add(mesh.Member{Instance: change.Key[len(memberPrefix):], Address: address})
+	}
+	return true
+}
+
+// standbys is how many instances watch the lease closely, so that the loss of
+// a few at once leaves one.
+const standbys = 5
+
+func (node *Node) standby() bool {
+	return lease.Standby(leaseDuty, node.settings.Instance, node.mesh.Live(), standbys)
+}
