Change stages only to fill what is missing, and tell which engines change

Cause: the planner swapped engines to a preferred set while targets came and went, so up to half of the engines were changing their stage and refused three quarters of what they got; other instances kept sending to them. Ruled out: full engines (queues were short).

--- a/internal/coordination/duty/duty.go
+++ b/internal/coordination/duty/duty.go
@@ -52,6 +52,7 @@
 	Targets  []site.Target
 	Now      time.Time // true time
 	Timely   bool      // true time is known
+	Idle     bool      // no request has come yet
 }
 
 // Keeper carries out the duties.
@@ -67,7 +68,7 @@
 	// Of the goroutine that orders.
 	orderEpoch uint64
 	capacity   map[string]*shape.Capacity
-	changing   map[string]time.Time // engines that change their stage, until when
+	changes    changes
 
 	reportEpoch uint64 // of the goroutine that reports
 }
@@ -90,10 +91,14 @@
 		self: config.Instance, tenure: &tenure{lease: config.Lease, wait: config.Term + alternationSlack}, platform: config.Platform, reporter: config.Reporter,
 		situation: config.Situation, duties: config.Duties,
 		logger:   config.Logger.With().Str("part", "duty").Logger(),
-		capacity: map[string]*shape.Capacity{}, changing: map[string]time.Time{},
+		capacity: map[string]*shape.Capacity{},
 	}
 }
 
+// Changing returns the engines that were ordered to change their stage, with
+// the time for which they may take no requests.
+func (keeper *Keeper) Changing() map[string]time.Duration { return keeper.changes.left(time.Now()) }
+
 // Start carries out the duties until ctx ends. The channels are closed after
 // the last call.
 func (keeper *Keeper) Start(ctx context.Context) <-chan struct{} {
--- a/internal/coordination/duty/order.go
+++ b/internal/coordination/duty/order.go
@@ -18,7 +18,7 @@
 	if grant.Epoch != keeper.orderEpoch {
 		keeper.orderEpoch = grant.Epoch
 		clear(keeper.capacity)
-		clear(keeper.changing)
+		keeper.changes.clear()
 	}
 	situation := keeper.situation()
 	if situation.Manifest == nil {
@@ -26,21 +26,21 @@
 	}
 	for _, service := range situation.Manifest.Services {
 		if keeper.duties.Capacity {
-			keeper.orderCapacity(ctx, service, situation.Targets)
+			keeper.orderCapacity(ctx, service, &situation)
 		}
 		if service.Engine != nil {
-			keeper.orderStages(ctx, service, situation.Targets)
+			keeper.orderStages(ctx, service, &situation)
 		}
 	}
 }
 
-func (keeper *Keeper) orderCapacity(ctx context.Context, service site.Service, targets []site.Target) {
+func (keeper *Keeper) orderCapacity(ctx context.Context, service site.Service, situation *Situation) {
 	capacity, ok := keeper.capacity[service.Name]
 	if !ok {
 		capacity = shape.NewCapacity()
 		keeper.capacity[service.Name] = capacity
 	}
-	for _, order := range capacity.Orders(service, targets, time.Now()) {
+	for _, order := range capacity.Orders(service, situation.Targets, situation.Idle, time.Now()) {
 		grant, ok := keeper.tenure.held()
 		if !ok {
 			return
@@ -61,50 +61,52 @@
 	}
 }
 
-// orderStages sends the most urgent changes of stage. While requests are
-// served only a part of the engines changes at the same time.
-func (keeper *Keeper) orderStages(ctx context.Context, service site.Service, targets []site.Target) {
+// orderStages sends the most urgent changes of stage, once the targets that
+// were ordered have come or after a while. While requests are served only a
+// part of the engines changes at the same time.
+func (keeper *Keeper) orderStages(ctx context.Context, service site.Service, situation *Situation) {
 	now := time.Now()
-	engines, changing := 0, 0
-	for _, target := range targets {
-		if target.Service != service.Name {
-			continue
-		}
-		engines++
-		if now.Before(keeper.changing[target.ID]) {
-			changing++
+	if capacity, ok := keeper.capacity[service.Name]; ok && !capacity.Settled(service, situation.Targets, now) {
+		return
+	}
+	engines := 0
+	for _, target := range situation.Targets {
+		if target.Service == service.Name {
+			engines++
 		}
 	}
 	most := max(1, int(shareChanging*float64(engines)))
-	for _, change := range shape.Stages(service, targets) {
-		if now.Before(keeper.changing[change.Target.ID]) {
-			continue
-		}
-		if changing >= most {
+	if situation.Idle {
+		most = engines
+	}
+	changing := keeper.changes.stages(now)
+	for _, change := range shape.Stages(service, situation.Targets, changing) {
+		if len(changing) >= most {
 			return
 		}
-		changing++
-		keeper.changing[change.Target.ID] = now.Add(service.Engine.Switch + stageWait)
-		keeper.orderStage(ctx, change)
+		changing[change.Target.ID] = change.Stage
+		keeper.orderStage(ctx, change, service.Engine.Switch)
 	}
 }
 
 // orderStage asks an engine for its state and orders the change. The order
 // names how many orders the engine must have accepted, so that one that is
 // carried out late cannot undo a newer one.
-func (keeper *Keeper) orderStage(ctx context.Context, change shape.StageChange) {
+func (keeper *Keeper) orderStage(ctx context.Context, change shape.StageChange, length time.Duration) {
 	report, err := keeper.platform.Report(ctx, change.Target)
 	if err != nil {
 		keeper.logger.Warn().Err(err).Str("target", change.Target.ID).Msg("target does not report")
 		return
 	}
 	if report.Busy || report.Stage == change.Stage {
+		keeper.changes.add(change, stageWait)
 		return
 	}
 	grant, ok := keeper.tenure.held()
 	if !ok {
 		return
 	}
+	keeper.changes.add(change, length+stageWait)
 	err = keeper.platform.OrderStage(ctx, site.StageOrder{
 		Target: change.Target, Stage: change.Stage, Holder: keeper.self, Fence: grant.Epoch, Expected: report.Orders,
 	})
--- a/internal/coordination/duty/tenure.go
+++ b/internal/coordination/duty/tenure.go
@@ -19,7 +19,7 @@
 
 // held returns the grant if the instance may act under it: it has held the
 // lease for long enough that no other holder's act lies within the time in
-// which holders must not alternate.
+// which holders must not alternate. The first holder of all need not wait.
 func (tenure *tenure) held() (lease.Grant, bool) {
 	grant, ok := tenure.lease.Held()
 	if !ok {
@@ -30,5 +30,5 @@
 	if grant.Epoch != tenure.epoch {
 		tenure.epoch, tenure.since = grant.Epoch, time.Now()
 	}
-	return grant, time.Since(tenure.since) >= tenure.wait
+	return grant, grant.Epoch == 1 || time.Since(tenure.since) >= tenure.wait
 }
--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -33,15 +33,17 @@
 type state struct {
 	site.Target
 
-	engine *site.Engine // nil for a plain service
-	own    Load
-	others Load
-	cache  *cache
-	pace   float64 // smoothed time that work takes, against the expected
-	weight float64 // share of normal traffic that health allows
-	paused time.Time
-	strike int       // failures to connect in a row
-	seen   time.Time // when the target was first listed here
+	engine  *site.Engine // nil for a plain service
+	own     Load
+	others  Load
+	cache   *cache
+	pace    float64 // smoothed time that work takes, against the expected
+	weight  float64 // share of normal traffic that health allows
+	paused  time.Time
+	change  time.Time // until when the engine changes its stage
+	changed time.Time // when the list showed another stage
+	strike  int       // failures to connect in a row
+	seen    time.Time // when the target was first listed here
 }
 
 // Load is the work in flight at a target.
@@ -104,7 +106,7 @@
 			entry = &state{pace: 1, weight: 1, seen: now}
 		}
 		if entry.Stage != target.Stage {
-			entry.paused = time.Time{}
+			entry.paused, entry.change, entry.changed = time.Time{}, time.Time{}, now
 		}
 		entry.Target = target
 		entry.setEngine(services[target.Service].Engine)
@@ -149,6 +151,21 @@
 	}
 }
 
+// changeTold is how long after a change of stage showed in the list others may
+// still tell of it.
+const changeTold = 4 * time.Second
+
+// Changing keeps new work from an engine that changes its stage, until the
+// list shows the new one or the time has passed.
+func (book *Book) Changing(id string, left time.Duration) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	now := time.Now()
+	if state, ok := book.targets[id]; ok && now.Sub(state.changed) > changeTold {
+		state.change = now.Add(left)
+	}
+}
+
 const (
 	firstPause = 500 * time.Millisecond // after a failure to connect
 	mostDouble = 3                      // up to 4 s
@@ -191,7 +208,7 @@
 
 // usable reports whether a target may get new work.
 func (state *state) usable(now time.Time) bool {
-	return !state.Leaving && state.weight > 0 && !now.Before(state.paused)
+	return !state.Leaving && state.weight > 0 && !now.Before(state.paused) && !now.Before(state.change)
 }
 
 func (load *Load) add(other *Load, sign float64) {
--- a/internal/coordination/shape/capacity.go
+++ b/internal/coordination/shape/capacity.go
@@ -48,21 +48,35 @@
 type tallyOf struct{ regular, cheap int }
 
 // Orders returns the orders to send now. Each is to be reported to Ordered or
-// Refused.
-func (capacity *Capacity) Orders(service site.Service, targets []site.Target, now time.Time) []site.CapacityOrder {
-	if service.Scaling == nil {
+// Refused. Idle says that no requests come yet, so that everything may be
+// ordered at once.
+func (capacity *Capacity) Orders(service site.Service, targets []site.Target, idle bool, now time.Time) []site.CapacityOrder {
+	if service.Scaling == nil || service.Scaling.CheapPrice <= 0 || service.Scaling.CheapPrice >= 1 {
 		return nil
 	}
 	counts := countTargets(service, targets)
+	short := capacity.short(service, counts)
 	var orders []site.CapacityOrder
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
-		if order, ok := capacity.orderAt(service, name, *counts[name], now); ok {
-			orders = append(orders, order)
-		}
+		orders = append(orders, capacity.ordersAt(service, name, *counts[name], idle, short, now)...)
 	}
 	return orders
 }
 
+// short reports whether so many targets are missing in all data centres
+// together that regular ones have to take the place of cheap ones.
+func (capacity *Capacity) short(service site.Service, counts map[string]*tallyOf) bool {
+	have := 0
+	for _, count := range counts {
+		have += count.regular + count.cheap
+	}
+	return float64(have) < shortShare*float64(service.Scaling.Max*len(counts))
+}
+
+// shortShare is the part of the planned targets below which regular ones are
+// ordered while no cheap ones are to be had.
+const shortShare = 0.5
+
 func countTargets(service site.Service, targets []site.Target) map[string]*tallyOf {
 	counts := map[string]*tallyOf{}
 	for name := range service.Scaling.Prices {
@@ -86,35 +100,50 @@
 	return counts
 }
 
-// orderAt returns the next order for one data centre: cheap targets first, and
-// fewer regular ones once these run.
-func (capacity *Capacity) orderAt(service site.Service, name string, have tallyOf, now time.Time) (site.CapacityOrder, bool) {
+// ordersAt returns the next orders for one data centre: cheap targets first,
+// and fewer regular ones once these run.
+func (capacity *Capacity) ordersAt(service site.Service, name string, have tallyOf, idle, short bool, now time.Time) []site.CapacityOrder {
 	at, ok := capacity.places[name]
 	if !ok {
 		at = &place{atFirst: max(have.regular, service.Scaling.Min)}
 		capacity.places[name] = at
 	}
 	scaling := service.Scaling
+	dry := now.Before(at.dryUntil)
 	regular := max(scaling.Min, regularLeast)
 	cheap := max(0, scaling.Max-regular)
-	if scaling.CheapPrice <= 0 || scaling.CheapPrice >= 1 {
-		return site.CapacityOrder{}, false
+	if dry && short {
+		regular = min(scaling.Max-have.cheap, max(at.atFirst, regular))
+	}
+	var orders []site.CapacityOrder
+	if (idle || dry || have.cheap*2 >= cheap) && at.regular.wants(regular, have.regular, scaling.Boot, now) {
+		orders = append(orders, site.CapacityOrder{Service: service.Name, DataCenter: name, Count: regular})
 	}
-	order := site.CapacityOrder{Service: service.Name, DataCenter: name}
-	if now.Before(at.dryUntil) && have.cheap < cheap/2 {
-		order.Count = min(scaling.Max-have.cheap, max(at.atFirst, regular))
-		return order, at.regular.wants(order.Count, have.regular, scaling.Boot, now)
+	if !idle {
+		cheap = min(cheap, scaling.Max-have.regular)
 	}
-	allowed := min(cheap, scaling.Max-have.regular)
-	if !now.Before(at.dryUntil) && at.cheap.wants(allowed, have.cheap, scaling.Boot, now) {
-		order.Cheap, order.Count = true, allowed
-		return order, true
+	if !dry && at.cheap.wants(cheap, have.cheap, scaling.Boot, now) {
+		orders = append(orders, site.CapacityOrder{Service: service.Name, DataCenter: name, Count: cheap, Cheap: true})
 	}
-	if have.cheap*2 < cheap {
-		return order, false
+	return orders
+}
+
+// Settled reports whether all that was ordered has come.
+func (capacity *Capacity) Settled(service site.Service, targets []site.Target, now time.Time) bool {
+	if service.Scaling == nil {
+		return true
+	}
+	for name, have := range countTargets(service, targets) {
+		at, ok := capacity.places[name]
+		if ok && (at.regular.pending(have.regular, service.Scaling.Boot, now) || at.cheap.pending(have.cheap, service.Scaling.Boot, now)) {
+			return false
+		}
 	}
-	order.Count = regular
-	return order, at.regular.wants(regular, have.regular, scaling.Boot, now)
+	return true
+}
+
+func (ordered *ordered) pending(have int, boot time.Duration, now time.Time) bool {
+	return !ordered.at.IsZero() && ordered.count != have && now.Sub(ordered.at) < boot+orderSlack
 }
 
 // wants reports whether a count has to be ordered: it is another one than was
@@ -161,64 +190,83 @@
 const leastDecode = 2
 
 // Stages returns the engines of a service that should change their stage, the
-// most urgent first.
-func Stages(service site.Service, targets []site.Target) []StageChange {
-	engines := enginesOf(service, targets)
+// best suited first. It changes as many as are missing at a stage and no more:
+// a change takes an engine out for seconds. Engines in changing count as what
+// they change to.
+func Stages(service site.Service, targets []site.Target, changing map[string]site.Stage) []StageChange {
+	engines := enginesOf(service, targets, changing)
 	if service.Engine == nil || len(engines) < 2 {
 		return nil
 	}
-	decode := max(min(leastDecode, len(engines)/2), int(float64(len(engines))/enginesPerDecode+0.5))
-	wanted := wantedDecode(engines, decode)
-	var changes []StageChange
+	wanted := max(min(leastDecode, len(engines)/2), int(float64(len(engines))/enginesPerDecode+0.5))
+	decode := 0
+	perPlace := map[string]int{}
 	for _, target := range engines {
-		stage := site.Prefill
-		if wanted[target.ID] {
-			stage = site.Decode
+		if target.Stage == site.Decode {
+			decode++
+			perPlace[target.DataCenter]++
 		}
-		if target.Stage != stage {
-			changes = append(changes, StageChange{Target: target, Stage: stage})
+	}
+	stage, missing := site.Decode, wanted-decode
+	if missing < 0 {
+		stage, missing = site.Prefill, -missing
+	}
+	var changes []StageChange
+	for range missing {
+		chosen, ok := choose(engines, changing, stage, perPlace)
+		if !ok {
+			break
+		}
+		changes = append(changes, StageChange{Target: *chosen, Stage: stage})
+		chosen.Stage = stage
+		if stage == site.Decode {
+			perPlace[chosen.DataCenter]++
+		} else {
+			perPlace[chosen.DataCenter]--
 		}
 	}
-	slices.SortStableFunc(changes, func(a, b StageChange) int { return cmp.Compare(b.Stage, a.Stage) })
 	return changes
 }
 
-func enginesOf(service site.Service, targets []site.Target) []site.Target {
+func enginesOf(service site.Service, targets []site.Target, changing map[string]site.Stage) []site.Target {
 	var engines []site.Target
 	for _, target := range targets {
-		if target.Service == service.Name && !target.Leaving && target.Stage != site.NoStage {
-			engines = append(engines, target)
+		if target.Service != service.Name || target.Leaving || target.Stage == site.NoStage {
+			continue
+		}
+		if stage, ok := changing[target.ID]; ok {
+			target.Stage = stage
 		}
+		engines = append(engines, target)
 	}
 	slices.SortFunc(engines, func(a, b site.Target) int { return cmp.Compare(a.ID, b.ID) })
 	return engines
 }
 
-// wantedDecode chooses the engines that make tokens: those that cannot be
-// taken away first, in turn over the data centres, and among equals those that
-// do so already.
-func wantedDecode(engines []site.Target, count int) map[string]bool {
-	wanted := map[string]bool{}
-	perPlace := map[string]int{}
-	for len(wanted) < count {
-		best := -1
-		for i, target := range engines {
-			if !wanted[target.ID] && (best < 0 || before(target, engines[best], perPlace)) {
-				best = i
-			}
+// choose returns the engine that is best suited to change to a stage. Engines
+// that make tokens are spread over the data centres and, where there is a
+// choice, are not those that may be taken away.
+func choose(engines []site.Target, changing map[string]site.Stage, stage site.Stage, perPlace map[string]int) (*site.Target, bool) {
+	var best *site.Target
+	for i := range engines {
+		target := &engines[i]
+		if _, ok := changing[target.ID]; ok || target.Stage == stage {
+			continue
+		}
+		if best == nil || suits(target, best, stage, perPlace) {
+			best = target
 		}
-		wanted[engines[best].ID] = true
-		perPlace[engines[best].DataCenter]++
 	}
-	return wanted
+	return best, best != nil
 }
 
-func before(a, b site.Target, perPlace map[string]int) bool {
-	if a.Cheap != b.Cheap {
-		return !a.Cheap
+func suits(a, b *site.Target, stage site.Stage, perPlace map[string]int) bool {
+	places := cmp.Compare(perPlace[a.DataCenter], perPlace[b.DataCenter])
+	if stage == site.Prefill {
+		places = -places
 	}
-	if perPlace[a.DataCenter] != perPlace[b.DataCenter] {
-		return perPlace[a.DataCenter] < perPlace[b.DataCenter]
+	if places != 0 {
+		return places < 0
 	}
-	return a.Stage == site.Decode && b.Stage != site.Decode
+	return a.Cheap != b.Cheap && a.Cheap == (stage == site.Prefill)
 }
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -56,7 +56,7 @@
 	before := roster.targets
 	roster.targets = make(map[string]site.Target, len(changes))
 	for _, change := range changes {
-		roster.apply(change)
+		roster.apply(change, before)
 	}
 	for id, target := range before {
 		if _, ok := roster.targets[id]; ok {
@@ -82,13 +82,13 @@
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	for _, change := range changes {
-		roster.apply(change)
+		roster.apply(change, roster.targets)
 	}
 	roster.publish()
 }
 
-func (roster *Roster) apply(change table.Change) {
-	known, ok := roster.targets[change.Key]
+func (roster *Roster) apply(change table.Change, before map[string]site.Target) {
+	known, ok := before[change.Key]
 	delete(roster.missing, change.Key)
 	if change.Deleted {
 		delete(roster.targets, change.Key)
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -129,7 +129,7 @@
 	known.heard = time.Now()
 	if !known.live {
 		known.live = true
-		mesh.logger.Info().Str("instance", instance).Msg("instance is live")
+		mesh.logger.Info().Str("peer", instance).Msg("instance is live")
 	}
 }
 
@@ -190,7 +190,7 @@
 	for name, member := range mesh.members {
 		if member.live && now.Sub(member.heard) > patience {
 			member.live = false
-			mesh.logger.Warn().Str("instance", name).Dur("quiet", now.Sub(member.heard)).Msg("instance went quiet")
+			mesh.logger.Warn().Str("peer", name).Dur("quiet", now.Sub(member.heard)).Msg("instance went quiet")
 		}
 		if member.live || mesh.round%quietRatio == 1 {
 			recipients = append(recipients, member.address)
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -13,12 +13,13 @@
 
 // heartbeat is what an instance tells the others several times a second.
 type heartbeat struct {
-	Instance string         `cbor:"1,keyasint"`
-	Boot     uint64         `cbor:"2,keyasint"`
-	Manifest int64          `cbor:"3,keyasint"` // version in force
-	Share    place.Share    `cbor:"4,keyasint"`
-	Usage    []tally.Counts `cbor:"5,keyasint,omitempty"`
-	Offset   int64          `cbor:"6,keyasint,omitempty"` // nanoseconds from the store's steady clock to the time of day, 0 if unknown
+	Instance string           `cbor:"1,keyasint"`
+	Boot     uint64           `cbor:"2,keyasint"`
+	Manifest int64            `cbor:"3,keyasint"` // version in force
+	Share    place.Share      `cbor:"4,keyasint"`
+	Usage    []tally.Counts   `cbor:"5,keyasint,omitempty"`
+	Changing map[string]int64 `cbor:"7,keyasint,omitempty"` // milliseconds for which engines change their stage
+	Offset   int64            `cbor:"6,keyasint,omitempty"` // nanoseconds from the store's steady clock to the time of day, 0 if unknown
 }
 
 func (node *Node) source() tally.Source {
@@ -31,6 +32,13 @@
 		Instance: node.settings.Instance, Boot: node.boot,
 		Share: node.book.Export(), Usage: node.meter.Export(),
 	}
+	for id, left := range node.keeper.Changing() {
+		if beat.Changing == nil {
+			beat.Changing = map[string]int64{}
+		}
+		beat.Changing[id] = left.Milliseconds()
+	}
+	node.pause(beat.Changing)
 	if manifest := node.proxy.Manifest(); manifest != nil {
 		beat.Manifest = manifest.Version
 	}
@@ -60,9 +68,13 @@
 	}
 	node.mesh.Add(mesh.Member{Instance: beat.Instance, Address: from})
 	node.mesh.Heard(beat.Instance)
+	node.pause(beat.Changing)
 	node.book.Merge(beat.Instance, beat.Share)
 	source := tally.Source{Instance: beat.Instance, Boot: beat.Boot}
 	node.meter.Merge(source, beat.Usage)
+	if len(beat.Usage) > 0 {
+		node.busy.Store(true)
+	}
 	if beat.Offset != 0 {
 		node.meter.SetOffset(source, time.Duration(beat.Offset))
 	}
@@ -76,3 +88,11 @@
 		node.proxy.ResetBudgets()
 	}
 }
+
+// pause keeps requests from engines that change their stage, until the list
+// shows the new one.
+func (node *Node) pause(changing map[string]int64) {
+	for id, left := range changing {
+		node.book.Changing(id, time.Duration(left)*time.Millisecond)
+	}
+}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -108,12 +108,14 @@
 	roster  *roster.Roster
 	mesh    *mesh.Mesh
 	lease   *lease.Lease
+	keeper  *duty.Keeper
 	servers []*front.Server
 	metrics *http.Server
 	served  <-chan struct{} // closed when the metrics are no longer served
 
 	targets  atomic.Pointer[[]site.Target]
 	stopping atomic.Bool
+	busy     atomic.Bool // a request has come, here or at another instance
 	members  atomic.Int64
 	cancel   context.CancelFunc
 	ended    []<-chan struct{}
@@ -143,6 +145,12 @@
 	node.lease = lease.New(store, leaseDuty, settings.Instance,
 		lease.WithTerm(settings.Bounds.Lease), lease.WithLogger(logger),
 		lease.WithRegisterer(node.registry), lease.WithStandby(node.standby))
+	node.keeper = duty.New(duty.Config{
+		Instance: node.settings.Instance, Lease: node.lease, Platform: node.control,
+		Reporter: tally.NewReporter(node.meter, node.store, node.control, node.settings.Instance,
+			node.settings.Bounds.UsageLate, node.logger),
+		Situation: node.situation, Duties: node.settings.Duties, Term: node.settings.Bounds.Lease, Logger: node.logger,
+	})
 	return node
 }
 
@@ -155,13 +163,7 @@
 	}
 	manifests := follow.New("manifest", node.store.Manifests(), manifestCopy{node}, node.logger)
 	targets := follow.New("targets", node.store.Targets(), node.roster, node.logger)
-	keeper := duty.New(duty.Config{
-		Instance: node.settings.Instance, Lease: node.lease, Platform: node.control,
-		Reporter: tally.NewReporter(node.meter, node.store, node.control, node.settings.Instance,
-			node.settings.Bounds.UsageLate, node.logger),
-		Situation: node.situation, Duties: node.settings.Duties, Term: node.settings.Bounds.Lease, Logger: node.logger,
-	})
-	node.ended = append(node.ended, manifests.Start(ctx), targets.Start(ctx), node.keepMembers(ctx), keeper.Start(ctx))
+	node.ended = append(node.ended, manifests.Start(ctx), targets.Start(ctx), node.keepMembers(ctx), node.keeper.Start(ctx))
 	node.leased = node.lease.Start(ctx)
 	return nil
 }
@@ -259,7 +261,10 @@
 }
 
 // Began counts a request that began to run.
-func (node *Node) Began(team string) { node.meter.Count(team, node.now()) }
+func (node *Node) Began(team string) {
+	node.busy.Store(true)
+	node.meter.Count(team, node.now())
+}
 
 // now returns true time as far as it is known.
 func (node *Node) now() time.Time {
@@ -293,6 +298,7 @@
 	if targets := node.targets.Load(); targets != nil {
 		situation.Targets = *targets
 	}
+	situation.Idle = !node.busy.Load()
 	situation.Now, situation.Timely = node.trueTime()
 	return situation
 }
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -158,7 +158,7 @@
 	if err != nil || answer.Status != http.StatusOK {
 		exchange.note(target, "prefill", "refused", begun)
 		if reply.NotRun {
-			proxy.book.Pause(target.ID, switchPause)
+			proxy.book.Pause(target.ID, pauseAfter(reply))
 		} else {
 			proxy.observe(health.Event{Target: target.ID, Outcome: health.Failure})
 		}
@@ -178,6 +178,15 @@
 	return handle, answered
 }
 
+// pauseAfter returns how long an engine gets nothing after it refused to run a
+// request.
+func pauseAfter(reply site.Reply) time.Duration {
+	if reply.Moved {
+		return movedPause
+	}
+	return switchPause
+}
+
 // run has one engine make the tokens, and gives the events to the caller.
 func (exchange *exchange) run(ctx context.Context, run place.Run, handle *site.Handle, stream *stream) verdict {
 	proxy := exchange.proxy
@@ -198,9 +207,7 @@
 		drop(answer)
 		exchange.free(handle)
 		exchange.note(run.Target, "decode", "not-run", begun)
-		if reply.Moved {
-			proxy.book.Pause(run.Target.ID, movedPause)
-		}
+		proxy.book.Pause(run.Target.ID, pauseAfter(reply))
 		return notRun
 	}
 	exchange.runs++
