Pass on where a caller resumes its stream

Ruled out: joined runs of our own resume, which a test covers. Test: TestCallersResumeGoesOnAtItsEvent.

--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -28,7 +28,7 @@
 // generate serves a request to model engines.
 func (exchange *exchange) generate(ctx context.Context) {
 	exchange.proxy.budget(exchange.service.Name).Fresh()
-	stream := &stream{exchange: exchange}
+	stream := &stream{exchange: exchange, last: exchange.request.ResumeAfter}
 	handle, from, err := exchange.read(ctx)
 	if err != nil {
 		exchange.refuse(err)
