Pass the store's tables on among instances; heartbeats by data centre

Two instances per data centre follow now, the others follow these, and other data centres get every eighth heartbeat.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,13 +21,10 @@
 	Feed(ctx context.Context, after uint64, wait time.Duration) (table.Page, error)
 }
 
-// Copy takes what the source says.
+// Copy takes what has changed. It is called after each list, also if nothing
+// has changed, and after each change.
 type Copy interface {
-	// Replace takes all rows. Recovered says that the store has just come
-	// back, so that rows which lapsed meanwhile may still be missing.
-	Replace(changes []table.Change, recovered bool)
-	// Update takes changed rows.
-	Update(changes []table.Change)
+	Apply(changes []table.Change)
 }
 
 const (
@@ -41,18 +39,23 @@
 	firstBackoff = 50 * time.Millisecond
 	mostBackoff  = 800 * time.Millisecond
 	// pace is the shortest time between two calls, against tables that
-	// change all the time.
-	pace = 100 * time.Millisecond
+	// change all the time. A tenth of the 2 s within which changes count.
+	pace = 200 * time.Millisecond
+	// lapseGrace is how long after the store's return a row may be missing:
+	// those that lapsed during an outage are back within two seconds.
+	lapseGrace = 2500 * time.Millisecond
 )
 
 // Follower keeps one copy up to date.
 type Follower struct {
-	name   string
 	source Source
 	copy   Copy
 	logger zerolog.Logger
 
-	version  uint64 // of the copy, 0 if a list is needed
+	rows     map[string]uint64    // versions of the rows that the copy has
+	missing  map[string]time.Time // rows that lapsed in an outage, until when they are kept
+	dropped  map[string]uint64    // versions at which rows were dropped, against older lists
+	version  uint64               // of the table, 0 if a list is needed
 	listed   time.Time
 	failures int
 	since    time.Time // when the store was lost
@@ -60,7 +63,11 @@
 
 // New returns a follower of the table that name stands for in the log.
 func New(name string, source Source, copy Copy, logger zerolog.Logger) *Follower {
-	return &Follower{name: name, source: source, copy: copy, logger: logger.With().Str("part", "follow").Str("table", name).Logger()}
+	return &Follower{
+		source: source, copy: copy,
+		logger: logger.With().Str("part", "follow").Str("table", name).Logger(),
+		rows:   map[string]uint64{}, missing: map[string]time.Time{}, dropped: map[string]uint64{},
+	}
 }
 
 // Start follows until ctx ends. The channel is closed after the last call.
@@ -69,8 +76,7 @@
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			wait := follower.step(ctx)
-			sleep(ctx, wait)
+			sleep(ctx, follower.step(ctx))
 		}
 	}()
 	return done
@@ -81,18 +87,25 @@
 	if follower.version == 0 || time.Since(follower.listed) > relist {
 		return follower.list(ctx)
 	}
-	page, err := follower.source.Feed(ctx, follower.version, feedWait)
+	page, err := follower.source.Feed(ctx, follower.version, follower.wait(time.Now()))
 	if err != nil {
 		follower.version = 0
 		return follower.failed(ctx, err)
 	}
 	follower.version = page.Version
-	if len(page.Changes) > 0 {
-		follower.copy.Update(page.Changes)
-	}
+	follower.update(page.Changes, time.Now())
 	return pace
 }
 
+// wait returns how long to wait for changes: not past the end of a grace.
+func (follower *Follower) wait(now time.Time) time.Duration {
+	wait := feedWait
+	for _, until := range follower.missing {
+		wait = min(wait, max(pace, until.Sub(now)))
+	}
+	return wait
+}
+
 func (follower *Follower) list(ctx context.Context) time.Duration {
 	page, err := follower.source.List(ctx)
 	if err != nil {
@@ -100,14 +113,88 @@
 	}
 	recovered := follower.failures > 1
 	if recovered {
-		follower.logger.Info().Dur("outage", time.Since(follower.since)).Uint64("version", page.Version).Msg("store regained")
+		follower.logger.Info().Dur("outage-ms", time.Since(follower.since)).Uint64("version", page.Version).Msg("store regained")
 	}
 	follower.failures = 0
 	follower.version, follower.listed = page.Version, time.Now()
-	follower.copy.Replace(page.Changes, recovered)
+	follower.replace(page.Changes, recovered, follower.listed)
 	return 0
 }
 
+// replace turns a list into changes. Rows that are not in it are dropped, at
+// once or, if the store has just come back, after the grace.
+func (follower *Follower) replace(listed []table.Change, recovered bool, now time.Time) {
+	var changes []table.Change
+	present := make(map[string]bool, len(listed))
+	for _, change := range listed {
+		present[change.Key] = true
+		if follower.newer(change) {
+			changes = append(changes, change)
+		}
+	}
+	for key, version := range follower.rows {
+		if present[key] {
+			continue
+		}
+		_, lapsed := follower.missing[key]
+		switch {
+		case recovered && !lapsed:
+			follower.missing[key] = now.Add(lapseGrace)
+		case !lapsed:
+			changes = append(changes, table.Change{Key: key, Version: version, Deleted: true})
+		}
+	}
+	follower.apply(changes, now)
+}
+
+// newer reports whether a row is newer than what the copy has or had. Lists
+// that come by way of another instance may be some seconds old.
+func (follower *Follower) newer(change table.Change) bool {
+	return change.Version > follower.rows[change.Key] && change.Version > follower.dropped[change.Key]
+}
+
+func (follower *Follower) update(changes []table.Change, now time.Time) {
+	changes = slices.DeleteFunc(changes, func(change table.Change) bool {
+		return !change.Deleted && !follower.newer(change)
+	})
+	if len(changes) > 0 || len(follower.missing) > 0 {
+		follower.apply(changes, now)
+	}
+}
+
+// apply hands changes on, with the drops whose grace has ended.
+func (follower *Follower) apply(changes []table.Change, now time.Time) {
+	for _, change := range changes {
+		delete(follower.missing, change.Key)
+		if change.Deleted {
+			follower.drop(change.Key, max(change.Version, follower.rows[change.Key]))
+		} else {
+			follower.rows[change.Key] = change.Version
+		}
+	}
+	for key, until := range follower.missing {
+		if now.Before(until) {
+			continue
+		}
+		follower.logger.Info().Str("row", key).Msg("row did not come back with the store")
+		changes = append(changes, table.Change{Key: key, Version: follower.rows[key], Deleted: true})
+		delete(follower.missing, key)
+		follower.drop(key, follower.rows[key])
+	}
+	follower.copy.Apply(changes)
+}
+
+// mostDropped bounds what is remembered of dropped rows.
+const mostDropped = 4096
+
+func (follower *Follower) drop(key string, version uint64) {
+	delete(follower.rows, key)
+	if len(follower.dropped) >= mostDropped {
+		clear(follower.dropped)
+	}
+	follower.dropped[key] = version
+}
+
 func (follower *Follower) failed(ctx context.Context, err error) time.Duration {
 	if ctx.Err() != nil {
 		return 0
--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -27,6 +27,7 @@
 	peers    map[string]*peer
 	reads    []Read // of this instance since the last Export
 	random   *rand.Rand
+	awayMS   float64 // by which engines in other data centres cost more
 }
 
 // state is what is known of one target.
@@ -195,6 +196,25 @@
 	}
 }
 
+const (
+	// crowd is the number of instances beyond which those in other data
+	// centres tell of their work only now and then.
+	crowd = 12
+	// crowdAwayMS keeps the work of a large site within its data centres,
+	// unless their engines are that much busier. About one large prompt.
+	crowdAwayMS = 120.0
+)
+
+// SetMembers tells how many instances there are.
+func (book *Book) SetMembers(count int) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	book.awayMS = 0
+	if count > crowd {
+		book.awayMS = crowdAwayMS
+	}
+}
+
 // Targets returns the listed targets.
 func (book *Book) Targets() []site.Target {
 	book.mutex.Lock()
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -62,6 +62,9 @@
 		work := state.pace * workMS(prompt.Tokens, cached)
 		ahead := state.pace * (state.own.ahead(tier) + state.others.ahead(tier))
 		cost := (ahead+work)/state.weight + spreadMS*preference(state.ID, parts)
+		if state.DataCenter != book.options.home {
+			cost += book.awayMS
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = state, cost
 			choice = Reading{Target: state.Target, AheadMS: ahead, WorkMS: work, Cached: cached}
--- a/internal/coordination/place/share.go
+++ b/internal/coordination/place/share.go
@@ -32,9 +32,9 @@
 	heard time.Time
 }
 
-// shareAge is how long a share counts after it came. Instances share several
-// times in it.
-const shareAge = 2 * time.Second
+// shareAge is how long a share counts at most. Shares of instances that have
+// gone quiet are forgotten before.
+const shareAge = 20 * time.Second
 
 // mostReads bounds the reads of one share.
 const mostReads = 64
@@ -70,8 +70,19 @@
 		}
 	}
 	share.Reads = nil
+	if before, ok := book.peers[instance]; ok {
+		book.addPeer(&before.share, -1)
+	}
 	book.peers[instance] = &peer{share: share, heard: now}
-	book.sumPeers(now)
+	book.addPeer(&share, 1)
+}
+
+// Forget drops the share of an instance that has gone quiet.
+func (book *Book) Forget(instance string) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	delete(book.peers, instance)
+	book.sumPeers(time.Now())
 }
 
 // sumPeers adds up what the others have in flight.
@@ -84,13 +95,18 @@
 			delete(book.peers, instance)
 			continue
 		}
-		for i := range peer.share.Loads {
-			book.addPeerLoad(&peer.share.Loads[i])
-		}
+		book.addPeer(&peer.share, 1)
+	}
+}
+
+// addPeer adds or, with the sign -1, takes away what a share tells.
+func (book *Book) addPeer(share *Share, sign float64) {
+	for i := range share.Loads {
+		book.addPeerLoad(&share.Loads[i], sign)
 	}
 }
 
-func (book *Book) addPeerLoad(told *TargetLoad) {
+func (book *Book) addPeerLoad(told *TargetLoad, sign float64) {
 	state, ok := book.targets[told.Target]
 	if !ok {
 		return
@@ -99,7 +115,7 @@
 	for tier, work := range told.WorkMS {
 		load.WorkMS[tier] = float64(work)
 	}
-	state.others.add(&load, 1)
+	state.others.add(&load, sign)
 }
 
 // Summary is the work in flight in one service, of all instances.
--- a/internal/coordination/tally/report.go
+++ b/internal/coordination/tally/report.go
@@ -25,8 +25,12 @@
 	ReportUsage(ctx context.Context, holder string, fence uint64, report site.UsageReport) error
 }
 
-// settle is how long after its end a window is summed up: several heartbeats.
-const settle = 1200 * time.Millisecond
+const (
+	// leastSettle is how long after its end a window is summed up at least,
+	// settleHeartbeats in heartbeats: one may get lost.
+	leastSettle      = 1200 * time.Millisecond
+	settleHeartbeats = 2
+)
 
 // expired is how many windows back a row is removed when a new one is written.
 const expired = 20
@@ -40,6 +44,7 @@
 	sender Sender
 	self   string
 	late   time.Duration
+	period func() time.Duration // longest time between heartbeats
 	logger zerolog.Logger
 
 	next   int64                      // first window that is not reported
@@ -47,10 +52,11 @@
 }
 
 // NewReporter returns a reporter for the instance named self. Late is how long
-// after its end a report is still of use.
-func NewReporter(meter *Meter, store Store, sender Sender, self string, late time.Duration, logger zerolog.Logger) *Reporter {
+// after its end a report is still of use, period the longest time between
+// heartbeats.
+func NewReporter(meter *Meter, store Store, sender Sender, self string, late time.Duration, period func() time.Duration, logger zerolog.Logger) *Reporter {
 	return &Reporter{
-		meter: meter, store: store, sender: sender, self: self, late: late,
+		meter: meter, store: store, sender: sender, self: self, late: late, period: period,
 		logger: logger.With().Str("part", "usage").Logger(), frozen: map[int64]map[string]int64{},
 	}
 }
@@ -59,6 +65,7 @@
 // the grant under which to act and is asked before each call. Only one
 // goroutine may call Step.
 func (reporter *Reporter) Step(ctx context.Context, now time.Time, held func() (lease.Grant, bool)) {
+	settle := max(leastSettle, settleHeartbeats*reporter.period())
 	last := reporter.meter.WindowOf(now.Add(-settle)) - 1
 	first := reporter.meter.WindowOf(now.Add(-reporter.late - settle))
 	reporter.next = max(reporter.next, first)
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -13,10 +12,6 @@
 	"mangopier.example/mangopier/internal/state/table"
 )
 
-// lapseGrace is how long after the store's return a target may be missing from
-// the list: entries that lapsed during an outage are back within two seconds.
-const lapseGrace = 2500 * time.Millisecond
-
 // Roster is the list of targets. It is a follow.Copy.
 type Roster struct {
 	decode  func(id string, value []byte) (site.Target, error)
@@ -25,8 +20,6 @@
 
 	mutex   sync.Mutex
 	targets map[string]site.Target
-	missing map[string]site.Target // lapsed during an outage, may come back
-	timer   *time.Timer            // ends the grace of those that are missing
 	listed  bool
 }
 
@@ -37,7 +30,6 @@
 		decode: decode, changed: changed,
 		logger:  logger.With().Str("part", "roster").Logger(),
 		targets: map[string]site.Target{},
-		missing: map[string]site.Target{},
 	}
 }
 
@@ -48,48 +40,21 @@
 	return roster.listed
 }
 
-// Replace takes the whole list. If the store has just come back, targets that
-// are missing are kept for a grace.
-func (roster *Roster) Replace(changes []table.Change, recovered bool) {
+// Apply takes changed rows.
+func (roster *Roster) Apply(changes []table.Change) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
-	before := roster.targets
-	roster.targets = make(map[string]site.Target, len(changes))
 	for _, change := range changes {
-		roster.apply(change, before)
-	}
-	for id, target := range before {
-		if _, ok := roster.targets[id]; ok {
-			continue
-		}
-		if recovered {
-			roster.missing[id] = target
-			continue
-		}
-		if _, ok := roster.missing[id]; !ok {
-			roster.logger.Info().Str("target", id).Msg("target is gone")
-		}
-	}
-	if recovered && len(roster.missing) > 0 {
-		roster.startGrace()
+		roster.apply(change)
 	}
-	roster.listed = true
-	roster.publish()
-}
-
-// Update takes changed rows.
-func (roster *Roster) Update(changes []table.Change) {
-	roster.mutex.Lock()
-	defer roster.mutex.Unlock()
-	for _, change := range changes {
-		roster.apply(change, roster.targets)
+	if len(changes) > 0 || !roster.listed {
+		roster.listed = true
+		roster.publish()
 	}
-	roster.publish()
 }
 
-func (roster *Roster) apply(change table.Change, before map[string]site.Target) {
-	known, ok := before[change.Key]
-	delete(roster.missing, change.Key)
+func (roster *Roster) apply(change table.Change) {
+	known, ok := roster.targets[change.Key]
 	if change.Deleted {
 		delete(roster.targets, change.Key)
 		if ok {
@@ -111,32 +76,12 @@
 	}
 }
 
-func (roster *Roster) startGrace() {
-	if roster.timer != nil {
-		roster.timer.Stop()
-	}
-	roster.timer = time.AfterFunc(lapseGrace, roster.endGrace)
-}
-
-func (roster *Roster) endGrace() {
-	roster.mutex.Lock()
-	defer roster.mutex.Unlock()
-	for id := range roster.missing {
-		roster.logger.Info().Str("target", id).Msg("target did not come back with the store")
-	}
-	clear(roster.missing)
-	roster.publish()
-}
-
 // publish tells the list, in the order of the names.
 func (roster *Roster) publish() {
-	targets := make([]site.Target, 0, len(roster.targets)+len(roster.missing))
+	targets := make([]site.Target, 0, len(roster.targets))
 	for _, target := range roster.targets {
 		targets = append(targets, target)
 	}
-	for _, target := range roster.missing {
-		targets = append(targets, target)
-	}
 	slices.SortFunc(targets, func(a, b site.Target) int { return cmp.Compare(a.ID, b.ID) })
 	roster.changed(targets)
 }
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -21,13 +21,17 @@
 const (
 	// period is the time between heartbeats in a small site.
 	period = 100 * time.Millisecond
-	// crowd is the number of instances up to which the period holds; beyond,
-	// it grows with them, so that an instance gets some 200 heartbeats a
-	// second at most.
-	crowd = 20
-	// liveFor is how many periods an instance counts as live after its last
-	// heartbeat; datagrams get lost at times.
-	liveFor = 10
+	// perMember is added to the period for each instance in the same data
+	// centre, so that an instance gets some 50 heartbeats a second from there
+	// at most.
+	perMember = 20 * time.Millisecond
+	// crowd is the number of instances beyond which those in other data
+	// centres get only every farRatio-th heartbeat.
+	crowd    = 12
+	farRatio = 8
+	// liveFor is how many heartbeats may fail to come before an instance
+	// counts as quiet; datagrams get lost at times.
+	liveFor = 4
 	// leastLive keeps a paused process from losing all others at once.
 	leastLive = 1500 * time.Millisecond
 	// quietRatio is how many heartbeats to an instance that has gone quiet
@@ -40,13 +44,15 @@
 
 // Member is an instance that heartbeats go to.
 type Member struct {
-	Instance string
-	Address  netip.AddrPort
+	Instance   string
+	DataCenter string
+	Address    netip.AddrPort
 }
 
 // Mesh sends and receives heartbeats on one port.
 type Mesh struct {
 	self    string
+	home    string // data centre
 	compose func() []byte
 	receive func(datagram []byte, from netip.AddrPort)
 	logger  zerolog.Logger
@@ -55,19 +61,29 @@
 	mutex   sync.Mutex
 	members map[string]*member
 	round   uint64
+	urgent  bool // the next heartbeat goes to all
+	left    func(instance string)
 }
 
 type member struct {
-	address netip.AddrPort
-	heard   time.Time
-	live    bool
+	Member
+
+	heard time.Time
+	live  bool
+}
+
+// Callbacks are what a mesh calls, each on one goroutine at a time.
+type Callbacks struct {
+	Compose func() []byte                              // returns the datagram to send
+	Receive func(datagram []byte, from netip.AddrPort) // takes one that came
+	Left    func(instance string)                      // an instance has gone quiet
 }
 
-// New returns a mesh for the instance named self. Compose returns the datagram
-// to send, receive takes one that came; both are called by one goroutine each.
-func New(self string, compose func() []byte, receive func([]byte, netip.AddrPort), logger zerolog.Logger) *Mesh {
+// New returns a mesh for the instance self, whose address is not needed.
+func New(self Member, callbacks Callbacks, logger zerolog.Logger) *Mesh {
 	return &Mesh{
-		self: self, compose: compose, receive: receive,
+		self: self.Instance, home: self.DataCenter,
+		compose: callbacks.Compose, receive: callbacks.Receive, left: callbacks.Left,
 		logger:  logger.With().Str("part", "mesh").Logger(),
 		members: map[string]*member{},
 	}
@@ -105,10 +121,10 @@
 	defer mesh.mutex.Unlock()
 	known, ok := mesh.members[added.Instance]
 	if !ok {
-		mesh.members[added.Instance] = &member{address: added.Address}
+		mesh.members[added.Instance] = &member{Member: added}
 		return
 	}
-	known.address = added.Address
+	known.Member = added
 }
 
 // Remove forgets an instance that has left for good.
@@ -136,27 +152,56 @@
 // Live returns the names of the instances heard of lately, this one included,
 // in order.
 func (mesh *Mesh) Live() []string {
+	names := []string{mesh.self}
+	for _, member := range mesh.Members() {
+		names = append(names, member.Instance)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Members returns the other instances heard of lately.
+func (mesh *Mesh) Members() []Member {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	live := []string{mesh.self}
-	for name, member := range mesh.members {
+	var members []Member
+	for _, member := range mesh.members {
 		if member.live {
-			live = append(live, name)
+			members = append(members, member.Member)
 		}
 	}
-	slices.Sort(live)
-	return live
+	return members
 }
 
-// Period returns the time between heartbeats.
-func (mesh *Mesh) Period() time.Duration {
+// Urge sends the next heartbeat to all.
+func (mesh *Mesh) Urge() {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	return mesh.periodOf(len(mesh.members))
+	mesh.urgent = true
 }
 
-func (mesh *Mesh) periodOf(members int) time.Duration {
-	return period * time.Duration(max(crowd, members)) / crowd
+// Longest returns the longest time between two heartbeats to an instance.
+func (mesh *Mesh) Longest() time.Duration {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	near, far := mesh.periods()
+	return max(near, far)
+}
+
+// periods returns the times between heartbeats to instances in the same data
+// centre and in others.
+func (mesh *Mesh) periods() (near, far time.Duration) {
+	count := 0
+	for _, member := range mesh.members {
+		if member.DataCenter == mesh.home {
+			count++
+		}
+	}
+	near = max(period, time.Duration(count)*perMember)
+	if len(mesh.members) <= crowd {
+		return near, near
+	}
+	return near, near * farRatio
 }
 
 func (mesh *Mesh) send(ctx context.Context) {
@@ -184,19 +229,33 @@
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	mesh.round++
-	wait := mesh.periodOf(len(mesh.members))
-	patience := max(leastLive, liveFor*wait)
+	near, far := mesh.periods()
+	all := mesh.urgent || far == near || mesh.round%farRatio == 0
+	mesh.urgent = false
 	var recipients []netip.AddrPort
-	for name, member := range mesh.members {
-		if member.live && now.Sub(member.heard) > patience {
-			member.live = false
-			mesh.logger.Warn().Str("peer", name).Dur("quiet", now.Sub(member.heard)).Msg("instance went quiet")
+	for _, member := range mesh.members {
+		interval := far
+		if member.DataCenter == mesh.home {
+			interval = near
 		}
-		if member.live || mesh.round%quietRatio == 1 {
-			recipients = append(recipients, member.address)
+		mesh.age(member, now, max(leastLive, liveFor*interval))
+		due := all || interval == near
+		if due && (member.live || mesh.round%quietRatio == 1) {
+			recipients = append(recipients, member.Address)
 		}
 	}
-	return recipients, wait
+	return recipients, near
+}
+
+// age marks a member as quiet of which nothing was heard for too long.
+func (mesh *Mesh) age(member *member, now time.Time, patience time.Duration) {
+	quiet := now.Sub(member.heard)
+	if !member.live || quiet <= patience {
+		return
+	}
+	member.live = false
+	mesh.logger.Warn().Str("peer", member.Instance).Dur("quiet-ms", quiet).Msg("instance went quiet")
+	mesh.left(member.Instance)
 }
 
 func (mesh *Mesh) read() {
--- /dev/null
+++ b/internal/transport/mirror/source.go
@@ -0,0 +1,135 @@
+package mirror
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"mangopier.example/mangopier/internal/coordination/follow"
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/state/table"
+	"mangopier.example/mangopier/internal/transport/dial"
+)
+
+const (
+	// answerSlack is how long after the longest wait an answer may come.
+	answerSlack = time.Second
+	// freshAge is how old what a mirror has may be.
+	freshAge = 3500 * time.Millisecond
+	// avoid is how long the store is left alone after it failed, if another
+	// instance serves the table.
+	avoid = 2 * time.Second
+)
+
+// Client calls the mirrors of other instances.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client.
+func NewClient() *Client {
+	const idle = 10 * time.Second
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext: dial.New().DialContext, IdleConnTimeout: idle, DisableCompression: true,
+	}}}
+}
+
+func (client *Client) watch(ctx context.Context, address string, message *WatchRequest) (*WatchResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(message.WaitMS)*time.Millisecond+answerSlack)
+	defer cancel()
+	call := connect.NewClient[WatchRequest, WatchResponse](client.http, "http://"+address+procedure, connect.WithCodec(codec{}))
+	response, err := call.CallUnary(ctx, connect.NewRequest(message))
+	if err != nil {
+		return nil, code.Wrap(err, code.PeerUnreachable, "mirror "+address)
+	}
+	if response.Msg.AgeMS > freshAge.Milliseconds() {
+		return nil, code.Errorf(code.PeerUnreachable, "what mirror %s has is %d ms old", address, response.Msg.AgeMS)
+	}
+	return response.Msg, nil
+}
+
+// Source is a table that comes from the store or from a mirror. It is a
+// follow.Source; only one goroutine may use it.
+type Source struct {
+	name   string
+	store  follow.Source
+	client *Client
+	// choose returns the address of a mirror to ask, empty for none, and
+	// whether the store is to be asked first.
+	choose func() (mirror string, direct bool)
+
+	mirror string // in use, empty if the store is
+	boot   uint64
+	lost   time.Time // when the store failed last
+	heard  atomic.Int64
+}
+
+// NewSource returns a source of the table that name stands for.
+func NewSource(name string, store follow.Source, client *Client, choose func() (string, bool)) *Source {
+	return &Source{name: name, store: store, client: client, choose: choose}
+}
+
+// Heard returns when the store was last heard of, directly or by a mirror.
+func (source *Source) Heard() time.Time { return time.Unix(0, source.heard.Load()) }
+
+// List returns all rows, from the store or a mirror.
+func (source *Source) List(ctx context.Context) (table.Page, error) {
+	mirror, direct := source.choose()
+	direct = direct && time.Since(source.lost) > avoid
+	if mirror != "" && !direct {
+		if page, err := source.listMirror(ctx, mirror); err == nil {
+			return page, nil
+		}
+	}
+	page, err := source.store.List(ctx)
+	if err == nil {
+		source.mirror = ""
+		source.hear(0)
+		return page, nil
+	}
+	source.lost = time.Now()
+	if mirror != "" && direct {
+		return source.listMirror(ctx, mirror)
+	}
+	return page, err
+}
+
+// Feed waits for changes where the last list came from.
+func (source *Source) Feed(ctx context.Context, after uint64, wait time.Duration) (table.Page, error) {
+	if source.mirror == "" {
+		if mirror, direct := source.choose(); mirror != "" && !direct {
+			return table.Page{}, code.Errorf(code.RowMissing, "another instance serves the table")
+		}
+		page, err := source.store.Feed(ctx, after, wait)
+		if err == nil {
+			source.hear(0)
+		}
+		return page, err
+	}
+	response, err := source.client.watch(ctx, source.mirror, &WatchRequest{
+		Table: source.name, Boot: source.boot, After: after, WaitMS: wait.Milliseconds(),
+	})
+	if err != nil {
+		return table.Page{}, err
+	}
+	if response.Whole {
+		return table.Page{}, code.Errorf(code.RowMissing, "the mirror has started anew")
+	}
+	source.hear(response.AgeMS)
+	return table.Page{Changes: response.Changes, Version: response.Next}, nil
+}
+
+func (source *Source) listMirror(ctx context.Context, mirror string) (table.Page, error) {
+	response, err := source.client.watch(ctx, mirror, &WatchRequest{Table: source.name})
+	if err != nil {
+		return table.Page{}, err
+	}
+	source.mirror, source.boot = mirror, response.Boot
+	source.hear(response.AgeMS)
+	return table.Page{Changes: response.Changes, Version: response.Next}, nil
+}
+
+func (source *Source) hear(ageMS int64) {
+	source.heard.Store(time.Now().Add(-time.Duration(ageMS) * time.Millisecond).UnixNano())
+}
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -14,6 +14,7 @@
 // heartbeat is what an instance tells the others several times a second.
 type heartbeat struct {
 	Instance string           `cbor:"1,keyasint"`
+	Place    string           `cbor:"8,keyasint"` // data centre
 	Boot     uint64           `cbor:"2,keyasint"`
 	Manifest int64            `cbor:"3,keyasint"` // version in force
 	Share    place.Share      `cbor:"4,keyasint"`
@@ -29,10 +30,14 @@
 // compose returns the next heartbeat.
 func (node *Node) compose() []byte {
 	beat := heartbeat{
-		Instance: node.settings.Instance, Boot: node.boot,
+		Instance: node.settings.Instance, Boot: node.boot, Place: node.settings.DataCenter,
 		Share: node.book.Export(), Usage: node.meter.Export(),
 	}
-	for id, left := range node.keeper.Changing() {
+	changing := node.keeper.Changing()
+	if len(changing) > 0 {
+		node.mesh.Urge()
+	}
+	for id, left := range changing {
 		if beat.Changing == nil {
 			beat.Changing = map[string]int64{}
 		}
@@ -66,7 +71,7 @@
 	if beat.Instance == node.settings.Instance {
 		return
 	}
-	node.mesh.Add(mesh.Member{Instance: beat.Instance, Address: from})
+	node.mesh.Add(mesh.Member{Instance: beat.Instance, DataCenter: beat.Place, Address: from})
 	node.mesh.Heard(beat.Instance)
 	node.pause(beat.Changing)
 	node.book.Merge(beat.Instance, beat.Share)
@@ -86,6 +91,7 @@
 	live := int64(len(node.mesh.Live()))
 	if before := node.members.Swap(live); before != live {
 		node.proxy.ResetBudgets()
+		node.book.SetMembers(int(live))
 	}
 }
 
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -31,6 +31,7 @@
 	"mangopier.example/mangopier/internal/transport/back"
 	"mangopier.example/mangopier/internal/transport/front"
 	"mangopier.example/mangopier/internal/transport/mesh"
+	"mangopier.example/mangopier/internal/transport/mirror"
 	"mangopier.example/mangopier/internal/transport/proxy"
 )
 
@@ -107,11 +108,12 @@
 	proxy   *proxy.Proxy
 	roster  *roster.Roster
 	mesh    *mesh.Mesh
+	mirror  *mirror.Mirror
 	lease   *lease.Lease
 	keeper  *duty.Keeper
 	servers []*front.Server
-	metrics *http.Server
-	served  <-chan struct{} // closed when the metrics are no longer served
+	inner   []*http.Server    // metrics and mirror
+	served  []<-chan struct{} // closed when these are no longer served
 
 	targets  atomic.Pointer[[]site.Target]
 	stopping atomic.Bool
@@ -141,14 +143,17 @@
 		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
 		proxy.WithMembers(func() int { return int(node.members.Load()) }))
 	node.roster = roster.New(wire.Target, node.setTargets, logger)
-	node.mesh = mesh.New(settings.Instance, node.compose, node.receive, logger)
+	node.mesh = mesh.New(
+		mesh.Member{Instance: settings.Instance, DataCenter: settings.DataCenter},
+		mesh.Callbacks{Compose: node.compose, Receive: node.receive, Left: node.book.Forget}, logger)
+	node.mirror = mirror.New()
 	node.lease = lease.New(store, leaseDuty, settings.Instance,
 		lease.WithTerm(settings.Bounds.Lease), lease.WithLogger(logger),
 		lease.WithRegisterer(node.registry), lease.WithStandby(node.standby))
 	node.keeper = duty.New(duty.Config{
 		Instance: node.settings.Instance, Lease: node.lease, Platform: node.control,
 		Reporter: tally.NewReporter(node.meter, node.store, node.control, node.settings.Instance,
-			node.settings.Bounds.UsageLate, node.logger),
+			node.settings.Bounds.UsageLate, node.mesh.Longest, node.logger),
 		Situation: node.situation, Duties: node.settings.Duties, Term: node.settings.Bounds.Lease, Logger: node.logger,
 	})
 	return node
@@ -161,13 +166,21 @@
 		node.cancel()
 		return err
 	}
-	manifests := follow.New("manifest", node.store.Manifests(), manifestCopy{node}, node.logger)
-	targets := follow.New("targets", node.store.Targets(), node.roster, node.logger)
+	client := mirror.NewClient()
+	manifests := node.follow("manifest", node.store.Manifests(), manifestCopy{node}, client)
+	targets := node.follow("targets", node.store.Targets(), node.roster, client)
 	node.ended = append(node.ended, manifests.Start(ctx), targets.Start(ctx), node.keepMembers(ctx), node.keeper.Start(ctx))
 	node.leased = node.lease.Start(ctx)
 	return nil
 }
 
+// follow returns the follower of a table that comes from the store or from the
+// mirror of another instance, and is served to others in turn.
+func (node *Node) follow(name string, store follow.Source, copy follow.Copy, client *mirror.Client) *follow.Follower {
+	source := mirror.NewSource(name, store, client, node.chooseMirror)
+	return follow.New(name, source, node.mirror.Tee(name, copy, source.Heard), node.logger)
+}
+
 func (node *Node) listen(ctx context.Context) error {
 	limits := front.DefaultLimits()
 	limits.AllBodiesBytes = node.settings.Memory / bodyShare
@@ -192,7 +205,7 @@
 		return code.Wrap(err, code.SettingsInvalid, "peer port")
 	}
 	node.ended = append(node.ended, done)
-	return node.serveMetrics()
+	return node.serveInner()
 }
 
 // Ready reports whether the instance may take callers.
@@ -254,9 +267,9 @@
 	case <-node.leased:
 	case <-limit:
 	}
-	if node.metrics != nil {
-		_ = node.metrics.Close()
-		<-node.served
+	for i, server := range node.inner {
+		_ = server.Close()
+		<-node.served[i]
 	}
 }
 
@@ -325,11 +338,8 @@
 // manifestCopy takes the manifest's row.
 type manifestCopy struct{ node *Node }
 
-// Replace takes the row as it is.
-func (copy manifestCopy) Replace(changes []table.Change, _ bool) { copy.Update(changes) }
-
-// Update takes a changed row.
-func (copy manifestCopy) Update(changes []table.Change) {
+// Apply takes a changed row.
+func (copy manifestCopy) Apply(changes []table.Change) {
 	node := copy.node
 	for _, change := range changes {
 		if change.Deleted {
@@ -352,7 +362,8 @@
 
 // memberRow is the row by which the instances find each other.
 type memberRow struct {
-	Address string `json:"address"`
+	Address    string `json:"address"`
+	DataCenter string `json:"data-center"`
 }
 
 // keepMembers writes the instance's own row and reads those of the others.
@@ -382,7 +393,7 @@
 
 func (node *Node) writeMember(ctx context.Context) bool {
 	address := net.JoinHostPort(node.settings.Address, fmt.Sprint(node.settings.PeerPort))
-	value, err := json.Marshal(memberRow{Address: address})
+	value, err := json.Marshal(memberRow{Address: address, DataCenter: node.settings.DataCenter})
 	if err == nil {
 		err = node.store.Put(ctx, memberPrefix+node.settings.Instance, value)
 	}
@@ -405,7 +416,7 @@
 			node.logger.Warn().Str("part", "node").Str("row", change.Key).Msg("row names no instance")
 			continue
 		}
-		node.mesh.Add(mesh.Member{Instance: change.Key[len(memberPrefix):], Address: address})
+		node.mesh.Add(mesh.Member{Instance: change.Key[len(memberPrefix):], DataCenter: row.DataCenter, Address: address})
 	}
 	return true
 }
