Count less urgent work under way, and ask for cheap targets sooner again

Cause: an engine that reads a large, less urgent prompt keeps small ones for some 150 ms (two chunks), which the choice ignored; after a refusal no cheap targets were asked for over 2 s.

--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -13,16 +13,17 @@
 // Figures of the engines on the sites' sheets. Each target's pace corrects
 // them as its answers come.
 const (
-	tokensPerMS     = 55.0 // prompt tokens read per millisecond: 51.1 and 64.2
-	pairsMSPerM     = 0.65 // milliseconds per million pairs of tokens
-	setupMS         = 5.0  // of one reading, with the way there and back
-	moveSetupMS     = 4.0  // of one move, with the way there and back
-	crossingFactor  = 2.0  // a move between data centres against one within
-	crossingPenalty = 15.0 // milliseconds that a move between data centres counts more, for its price
-	stepMS          = 5.0  // of an engine between tokens
-	memoryMost      = 0.85 // share of an engine's memory to plan for
-	spreadMS        = 20.0 // by which the preferred engines of a new prompt differ
-	paceGain        = 0.2  // of one observation in the smoothed pace
+	tokensPerMS     = 55.0  // prompt tokens read per millisecond: 51.1 and 64.2
+	pairsMSPerM     = 0.65  // milliseconds per million pairs of tokens
+	setupMS         = 5.0   // of one reading, with the way there and back
+	moveSetupMS     = 4.0   // of one move, with the way there and back
+	crossingFactor  = 2.0   // a move between data centres against one within
+	crossingPenalty = 15.0  // milliseconds that a move between data centres counts more, for its price
+	lessMostMS      = 150.0 // that less urgent work delays more urgent: the chunks under way
+	stepMS          = 5.0   // of an engine between tokens
+	memoryMost      = 0.85  // share of an engine's memory to plan for
+	spreadMS        = 20.0  // by which the preferred engines of a new prompt differ
+	paceGain        = 0.2   // of one observation in the smoothed pace
 	paceLeast       = 0.5
 	paceMost        = 20.0
 )
@@ -32,7 +33,8 @@
 	Target site.Target
 	AheadMS,
 	WorkMS float64 // expected wait before the work, and the work
-	Cached int // tokens that the engine is taken to keep
+	LessMS float64 // less urgent work in flight at the engine
+	Cached int     // tokens that the engine is taken to keep
 
 	parts []namedPart
 	tier  int
@@ -61,13 +63,14 @@
 		cached := min(state.cache.kept(parts), max(0, prompt.Tokens-1))
 		work := state.pace * workMS(prompt.Tokens, cached)
 		ahead := state.pace * (state.own.ahead(tier) + state.others.ahead(tier))
-		cost := (ahead+work)/state.weight + spreadMS*preference(state.ID, parts)
+		less := state.own.ahead(tiers-1) + state.others.ahead(tiers-1) - state.own.ahead(tier) - state.others.ahead(tier)
+		cost := (ahead+min(state.pace*less, lessMostMS)+work)/state.weight + spreadMS*preference(state.ID, parts)
 		if state.DataCenter != book.options.home {
 			cost += book.awayMS
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = state, cost
-			choice = Reading{Target: state.Target, AheadMS: ahead, WorkMS: work, Cached: cached}
+			choice = Reading{Target: state.Target, AheadMS: ahead, WorkMS: work, LessMS: state.pace * less, Cached: cached}
 		}
 	}
 	if best == nil {
--- a/internal/coordination/shape/capacity.go
+++ b/internal/coordination/shape/capacity.go
@@ -15,7 +15,7 @@
 const (
 	// dryWait is how long no cheap targets are asked for after none were to
 	// be had.
-	dryWait = 2 * time.Second
+	dryWait = 500 * time.Millisecond
 	// orderSlack is how long after its boot time an ordered target may stay
 	// missing before the order is repeated.
 	orderSlack = 3 * time.Second
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -39,6 +39,7 @@
 	first   time.Duration // until the first bytes went to the caller
 	aheadMS float64       // expected wait of the last choice of a target
 	workMS  float64
+	lessMS  float64 // less urgent work in flight there
 	tries   []try
 }
 
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -95,7 +95,7 @@
 		if !ok {
 			return nil, "", nil
 		}
-		exchange.aheadMS, exchange.workMS = reading.AheadMS, reading.WorkMS
+		exchange.aheadMS, exchange.workMS, exchange.lessMS = reading.AheadMS, reading.WorkMS, reading.LessMS
 		if err := exchange.fits(&reading); err != nil && len(tried) == 0 {
 			proxy.book.ReadDone(&reading, false)
 			return nil, "", err
--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -57,7 +57,7 @@
 		event.Int64("manifest", exchange.manifest.Version).Int64("deadline-ms", exchange.deadline.Sub(exchange.begun).Milliseconds())
 	}
 	if exchange.workMS > 0 {
-		event.Float64("ahead-ms", round(exchange.aheadMS)).Float64("work-ms", round(exchange.workMS))
+		event.Float64("ahead-ms", round(exchange.aheadMS)).Float64("work-ms", round(exchange.workMS)).Float64("less-ms", round(exchange.lessMS))
 	}
 	event.Str("kind", kind).Str("tries", exchange.describeTries()).Int("runs", exchange.runs).
 		Str("outcome", exchange.status).Int("code", exchange.code).
