Send heartbeats to far instances that are quiet

Ruled out: settling time and lost datagrams. Test: TestFarInstancesThatAreQuietGetHeartbeats, failing before.

--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -240,7 +240,10 @@
 		}
 		mesh.age(member, now, max(leastLive, liveFor*interval))
 		due := all || interval == near
-		if due && (member.live || mesh.round%quietRatio == 1) {
+		if !member.live {
+			due = mesh.round%quietRatio == 1
+		}
+		if due {
 			recipients = append(recipients, member.Address)
 		}
 	}
