Spread choices over engines where loads are known late

Cause: on the grown site 22 instances of a data centre chose the same engine until the next heartbeat (decode first event p90 362 ms).

--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -27,7 +27,7 @@
 	peers    map[string]*peer
 	reads    []Read // of this instance since the last Export
 	random   *rand.Rand
-	awayMS   float64 // by which engines in other data centres cost more
+	crowded  bool // there are so many instances that loads are known late
 }
 
 // state is what is known of one target.
@@ -197,22 +197,24 @@
 }
 
 const (
-	// crowd is the number of instances beyond which those in other data
-	// centres tell of their work only now and then.
+	// crowd is the number of instances beyond which loads are known late.
 	crowd = 12
 	// crowdAwayMS keeps the work of a large site within its data centres,
 	// unless their engines are that much busier. About one large prompt.
 	crowdAwayMS = 120.0
+	// crowdJitterMS spreads prompts over engines that look alike, about the
+	// work of two small ones.
+	crowdJitterMS = 50.0
+	// crowdSpread spreads generations over engines with up to twice the
+	// tokens in memory.
+	crowdSpread = 1.0
 )
 
 // SetMembers tells how many instances there are.
 func (book *Book) SetMembers(count int) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	book.awayMS = 0
-	if count > crowd {
-		book.awayMS = crowdAwayMS
-	}
+	book.crowded = count > crowd
 }
 
 // Targets returns the listed targets.
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -65,9 +65,7 @@
 		ahead := state.pace * (state.own.ahead(tier) + state.others.ahead(tier))
 		less := state.own.ahead(tiers-1) + state.others.ahead(tiers-1) - state.own.ahead(tier) - state.others.ahead(tier)
 		cost := (ahead+min(state.pace*less, lessMostMS)+work)/state.weight + spreadMS*preference(state.ID, parts)
-		if state.DataCenter != book.options.home {
-			cost += book.awayMS
-		}
+		cost += book.crowdCost(state)
 		if best == nil || cost < bestCost {
 			best, bestCost = state, cost
 			choice = Reading{Target: state.Target, AheadMS: ahead, WorkMS: work, LessMS: state.pace * less, Cached: cached}
@@ -83,6 +81,19 @@
 	return choice, true
 }
 
+// crowdCost is what an engine costs more in a large site, where loads are known
+// late: instances must not all choose the one that was idle a moment ago.
+func (book *Book) crowdCost(state *state) float64 {
+	if !book.crowded {
+		return 0
+	}
+	cost := crowdJitterMS * book.random.Float64()
+	if state.DataCenter != book.options.home {
+		cost += crowdAwayMS
+	}
+	return cost
+}
+
 // ReadDone ends the work of a reading. If the engine answered, its pace is
 // corrected.
 func (book *Book) ReadDone(reading *Reading, answered bool) {
@@ -141,6 +152,9 @@
 			continue
 		}
 		cost, move := state.generationCost(need, prompt.Tokens, from)
+		if book.crowded {
+			cost *= 1 + crowdSpread*book.random.Float64()
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost, bestMove = state, cost, move
 		}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -22,13 +22,13 @@
 	// period is the time between heartbeats in a small site.
 	period = 100 * time.Millisecond
 	// perMember is added to the period for each instance in the same data
-	// centre, so that an instance gets some 50 heartbeats a second from there
+	// centre, so that an instance gets some 80 heartbeats a second from there
 	// at most.
-	perMember = 20 * time.Millisecond
+	perMember = 12 * time.Millisecond
 	// crowd is the number of instances beyond which those in other data
 	// centres get only every farRatio-th heartbeat.
 	crowd    = 12
-	farRatio = 8
+	farRatio = 13
 	// liveFor is how many heartbeats may fail to come before an instance
 	// counts as quiet; datagrams get lost at times.
 	liveFor = 4
