Place shared prompts by one owner over all data centres; log pauses

Cause: on the grown site each data centre read each of 578 shared parts by itself, and with 25 such requests a second there most were read cold. The owner is now chosen over all data centres.

--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -40,6 +40,7 @@
 	cache   *cache
 	pace    float64 // smoothed time that work takes, against the expected
 	weight  float64 // share of normal traffic that health allows
+	brief   bool    // kept for small prompts
 	paused  time.Time
 	change  time.Time // until when the engine changes its stage
 	changed time.Time // when the list showed another stage
@@ -115,6 +116,9 @@
 		groups[target.Service] = append(groups[target.Service], entry)
 	}
 	book.targets, book.services = kept, groups
+	for _, group := range groups {
+		keepBrief(group)
+	}
 	book.sumPeers(now)
 }
 
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -22,7 +22,7 @@
 	lessMostMS      = 150.0 // that less urgent work delays more urgent: the chunks under way
 	stepMS          = 5.0   // of an engine between tokens
 	memoryMost      = 0.85  // share of an engine's memory to plan for
-	spreadMS        = 20.0  // by which the preferred engines of a new prompt differ
+	ownerShare      = 0.5   // of the work of its shared parts, by which the owner of a prompt is preferred
 	paceGain        = 0.2   // of one observation in the smoothed pace
 	paceLeast       = 0.5
 	paceMost        = 20.0
@@ -53,19 +53,23 @@
 	parts := nameParts(prompt)
 	tier := tierOf(urgency)
 	now := time.Now()
+	engines := book.readers(service, except, now)
+	owner := book.ownerOf(engines, parts)
 	var best *state
 	var choice Reading
 	bestCost := 0.0
-	for _, state := range book.services[service] {
-		if state.Stage != site.Prefill || state.engine == nil || !state.usable(now) || slices.Contains(except, state.ID) {
-			continue
-		}
+	for _, state := range engines {
 		cached := min(state.cache.kept(parts), max(0, prompt.Tokens-1))
 		work := state.pace * workMS(prompt.Tokens, cached)
 		ahead := state.pace * (state.own.ahead(tier) + state.others.ahead(tier))
 		less := state.own.ahead(tiers-1) + state.others.ahead(tiers-1) - state.own.ahead(tier) - state.others.ahead(tier)
-		cost := (ahead+min(state.pace*less, lessMostMS)+work)/state.weight + spreadMS*preference(state.ID, parts)
-		cost += book.crowdCost(state)
+		cost := (ahead + min(state.pace*less, lessMostMS) + work) / state.weight
+		if state == owner {
+			cost -= ownerShare * float64(prompt.Shared()) / tokensPerMS
+		} else {
+			cost += book.crowdCost(state)
+		}
+		cost += state.briefCost(work)
 		if best == nil || cost < bestCost {
 			best, bestCost = state, cost
 			choice = Reading{Target: state.Target, AheadMS: ahead, WorkMS: work, LessMS: state.pace * less, Cached: cached}
@@ -119,15 +123,35 @@
 	return setupMS + fresh/tokensPerMS + pairsMSPerM*pairs
 }
 
-// preference returns a number from 0 to 1 by which all instances prefer the
-// same engine for a prompt that none keeps.
-func preference(id string, parts []namedPart) float64 {
-	if len(parts) == 0 {
-		return 0
+// readers returns the engines that may read a prompt now.
+func (book *Book) readers(service string, except []string, now time.Time) []*state {
+	var engines []*state
+	for _, state := range book.services[service] {
+		if state.Stage == site.Prefill && state.engine != nil && state.usable(now) && !slices.Contains(except, state.ID) {
+			engines = append(engines, state)
+		}
+	}
+	return engines
+}
+
+// ownerOf returns the engine that all instances prefer for the shared parts of
+// a prompt, by rendezvous hashing.
+func (book *Book) ownerOf(engines []*state, parts []namedPart) *state {
+	if len(parts) < 2 {
+		return nil
+	}
+	lead := strconv.FormatUint(parts[len(parts)-2].Name, 16)
+	var owner *state
+	highest := uint64(0)
+	for _, state := range engines {
+		if state.brief {
+			continue
+		}
+		if hash := xxhash.Sum64String(state.ID + lead); owner == nil || hash > highest {
+			owner, highest = state, hash
+		}
 	}
-	lead := parts[max(0, len(parts)-2)].Name
-	hash := xxhash.Sum64String(id + strconv.FormatUint(lead, 16))
-	return float64(hash>>11) / (1 << 53)
+	return owner
 }
 
 // Run is a request or call in flight at a target.
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -37,6 +37,7 @@
 	failure error
 	code    int
 	first   time.Duration // until the first bytes went to the caller
+	pause   time.Duration // longest between events
 	aheadMS float64       // expected wait of the last choice of a target
 	workMS  float64
 	lessMS  float64 // less urgent work in flight there
--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -59,6 +59,9 @@
 	if exchange.workMS > 0 {
 		event.Float64("ahead-ms", round(exchange.aheadMS)).Float64("work-ms", round(exchange.workMS)).Float64("less-ms", round(exchange.lessMS))
 	}
+	if exchange.pause > 0 {
+		event.Int64("pause-ms", exchange.pause.Milliseconds())
+	}
 	event.Str("kind", kind).Str("tries", exchange.describeTries()).Int("runs", exchange.runs).
 		Str("outcome", exchange.status).Int("code", exchange.code).
 		Int64("first-ms", exchange.first.Milliseconds()).
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -20,6 +20,7 @@
 	last       string // id of the last event that the caller has
 	end        string // how the last run ended, for the log
 	callerGone bool
+	heard      time.Time // when the last events came
 }
 
 // eventEnd is the empty line that ends an event.
@@ -109,6 +110,11 @@
 func (stream *stream) write(answer *back.Answer, events []byte) bool {
 	exchange := stream.exchange
 	stream.begin(answer)
+	now := time.Now()
+	if !stream.heard.IsZero() {
+		exchange.pause = max(exchange.pause, now.Sub(stream.heard))
+	}
+	stream.heard = now
 	if _, err := exchange.w.Write(events); err != nil {
 		stream.end, stream.callerGone = "caller-gone", true
 		return false
