Pause engines that change their stage right after they were listed

Cause: the first listing of an engine counted as a change of its stage, so what was told of its change in the next 4 s was ignored and it got requests that it refused. Found by TestUnusableEnginesGetNothing, failing before. Tests of place and shape.

--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -107,7 +107,7 @@
 		if !ok || !entry.Started.Equal(target.Started) {
 			entry = &state{pace: 1, weight: 1, seen: now}
 		}
-		if entry.Stage != target.Stage {
+		if entry.ID != "" && entry.Stage != target.Stage {
 			entry.paused, entry.change, entry.changed = time.Time{}, time.Time{}, now
 		}
 		entry.Target = target
