Fetch a manifest from an instance that has a newer one

Heartbeats name the manifest in force: whoever is behind for 200 ms fetches it, and a failed feed turns to a mirror first. Ruled out: a lost heartbeat, a slow mirror.

--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -49,6 +49,15 @@
 	return response.Msg, nil
 }
 
+// Fetch returns the rows of a table that the instance at address has.
+func (client *Client) Fetch(ctx context.Context, address, name string) ([]table.Change, error) {
+	response, err := client.watch(ctx, address, &WatchRequest{Table: name})
+	if err != nil {
+		return nil, err
+	}
+	return response.Changes, nil
+}
+
 // Source is a table that comes from the store or from a mirror. It is a
 // follow.Source; only one goroutine may use it.
 type Source struct {
@@ -102,8 +111,11 @@
 			return table.Page{}, code.Errorf(code.RowMissing, "another instance serves the table")
 		}
 		page, err := source.store.Feed(ctx, after, wait)
-		if err == nil {
+		switch {
+		case err == nil:
 			source.hear(0)
+		case !code.Is(err, code.RowMissing):
+			source.lost = time.Now() // a mirror is asked first now
 		}
 		return page, err
 	}
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -9,6 +10,7 @@
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/coordination/tally"
 	"mangopier.example/mangopier/internal/transport/mesh"
+	"mangopier.example/mangopier/internal/transport/mirror"
 )
 
 // heartbeat is what an instance tells the others several times a second.
@@ -75,6 +77,12 @@
 	node.mesh.Heard(beat.Instance)
 	node.pause(beat.Changing)
 	node.book.Merge(beat.Instance, beat.Share)
+	if manifest := node.proxy.Manifest(); manifest == nil || manifest.Version < beat.Manifest {
+		select {
+		case node.behind <- ahead{address: from.String(), version: beat.Manifest}:
+		default: // another instance is being asked
+		}
+	}
 	source := tally.Source{Instance: beat.Instance, Boot: beat.Boot}
 	node.meter.Merge(source, beat.Usage)
 	if len(beat.Usage) > 0 {
@@ -102,3 +110,52 @@
 		node.book.Changing(id, time.Duration(left)*time.Millisecond)
 	}
 }
+
+// ahead is an instance that has a newer manifest.
+type ahead struct {
+	address string
+	version int64
+}
+
+// headStart is how long the store's own feed may take to bring a manifest that
+// another instance has, a tenth of the time in which it has to be in force.
+const headStart = 200 * time.Millisecond
+
+// keepUp fetches manifests that other instances have and the store does not
+// bring, such as while it turns this instance away.
+func (node *Node) keepUp(ctx context.Context, client *mirror.Client) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case ahead := <-node.behind:
+				node.catchUp(ctx, client, ahead)
+			}
+		}
+	}()
+	return done
+}
+
+func (node *Node) catchUp(ctx context.Context, client *mirror.Client, ahead ahead) {
+	timer := time.NewTimer(headStart)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-timer.C:
+	}
+	if manifest := node.proxy.Manifest(); manifest != nil && manifest.Version >= ahead.version {
+		return
+	}
+	changes, err := client.Fetch(ctx, ahead.address, manifestTable)
+	if err != nil {
+		node.logger.Warn().Str("part", "node").Err(err).Int64("manifest", ahead.version).Msg("manifest is not fetched")
+		return
+	}
+	node.logger.Info().Str("part", "node").Str("from", ahead.address).Int64("manifest", ahead.version).
+		Msg("manifest fetched from another instance")
+	manifestCopy{node}.Apply(changes)
+}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -122,6 +122,7 @@
 	cancel   context.CancelFunc
 	ended    []<-chan struct{}
 	leased   <-chan error
+	behind   chan ahead // instances that have a newer manifest
 }
 
 // New returns an instance that does nothing before Start.
@@ -131,6 +132,7 @@
 		logger:   logger,
 		registry: prometheus.NewRegistry(),
 		boot:     rand.Uint64(),
+		behind:   make(chan ahead, 1),
 		book:     place.New(place.WithDataCenter(settings.DataCenter)),
 		tracker:  health.New(health.WithEjection(ejection, ramp)),
 		meter:    tally.New(settings.Bounds.UsageWindow),
@@ -167,9 +169,9 @@
 		return err
 	}
 	client := mirror.NewClient()
-	manifests := node.follow("manifest", node.store.Manifests(), manifestCopy{node}, client)
-	targets := node.follow("targets", node.store.Targets(), node.roster, client)
-	node.ended = append(node.ended, manifests.Start(ctx), targets.Start(ctx), node.keepMembers(ctx), node.keeper.Start(ctx))
+	manifests := node.follow(manifestTable, node.store.Manifests(), manifestCopy{node}, client)
+	targets := node.follow(targetTable, node.store.Targets(), node.roster, client)
+	node.ended = append(node.ended, manifests.Start(ctx), targets.Start(ctx), node.keepMembers(ctx), node.keepUp(ctx, client), node.keeper.Start(ctx))
 	node.leased = node.lease.Start(ctx)
 	return nil
 }
@@ -358,6 +360,12 @@
 	}
 }
 
+// Names of the tables among the instances.
+const (
+	manifestTable = "manifest"
+	targetTable   = "targets"
+)
+
 const memberPrefix = "member/"
 
 // memberRow is the row by which the instances find each other.
