--- /dev/null
+++ b/internal/transport/proxy/call_test.go
@@ -0,0 +1,277 @@
+package proxy_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"mangopier.example/mangopier/internal/protocol/site"
+)
+
+// counted wraps a handler and counts the calls that it gets.
+func counted(count *atomic.Int64, handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		handler(w, r)
+	}
+}
+
+func answerWith(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+func full(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func TestRefusalsBeforeAnyTarget(t *testing.T) {
+	world := newWorld(t)
+	var calls atomic.Int64
+	world.target("s1", "desk", site.NoStage, counted(&calls, answerWith("ok")))
+	cases := map[string]struct {
+		change func(*http.Request)
+		status int
+	}{
+		"no route":    {func(r *http.Request) { r.URL.Path = "/none/x" }, http.StatusNotFound},
+		"other host":  {func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
+		"no key":      {func(r *http.Request) { r.Header.Del("Authorization") }, http.StatusUnauthorized},
+		"unknown key": {func(r *http.Request) { r.Header.Set("Authorization", "Bearer other") }, http.StatusUnauthorized},
+		"no deadline": {func(r *http.Request) { r.Header.Set("Deadline-Ms", "soon") }, http.StatusBadRequest},
+	}
+	for name, test := range cases {
+		request := world.request(http.MethodPost, "/book/x")
+		test.change(request)
+		if answer := world.do(request); answer.status != test.status || answer.header.Get("X-Mangopier-Code") == "" {
+			t.Errorf("%s: %d", name, answer.status)
+		}
+	}
+	if calls.Load() != 0 {
+		t.Errorf("%d calls reached the target", calls.Load())
+	}
+	if strings.Contains(world.log.String(), testKey) {
+		t.Error("the log holds a key")
+	}
+}
+
+// A booking whose answer is lost may have run: it is neither sent again nor
+// called "not run".
+func TestBookingIsNotRepeated(t *testing.T) {
+	world := newWorld(t)
+	var calls atomic.Int64
+	lose := counted(&calls, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	world.target("s1", "desk", site.NoStage, lose)
+	world.target("s2", "desk", site.NoStage, lose)
+	answer := world.do(world.request(http.MethodPost, "/book/x"))
+	if answer.status != http.StatusBadGateway || calls.Load() != 1 {
+		t.Errorf("%d after %d calls", answer.status, calls.Load())
+	}
+	if world.began("press") != 1 {
+		t.Errorf("usage counts %d", world.began("press"))
+	}
+}
+
+// A booking without a body that a kept connection fails must not be replayed
+// by the transport.
+func TestBookingOverAKeptConnectionIsNotReplayed(t *testing.T) {
+	world := newWorld(t)
+	var calls atomic.Int64
+	world.target("s1", "desk", site.NoStage, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		answerWith("first")(w, r)
+	})
+	for range 2 {
+		request := world.request(http.MethodGet, "/book/x")
+		request.Body, request.ContentLength = http.NoBody, 0
+		world.do(request)
+	}
+	if calls.Load() != 2 {
+		t.Errorf("two bookings made %d calls", calls.Load())
+	}
+}
+
+// A target that states that it did not run a booking leaves it free to go
+// elsewhere; if all do, the refusal says so and when to come back.
+func TestBookingThatWasNotRunGoesElsewhere(t *testing.T) {
+	world := newWorld(t)
+	world.target("s1", "desk", site.NoStage, full)
+	if answer := world.do(world.request(http.MethodPost, "/book/x")); answer.status != http.StatusServiceUnavailable ||
+		answer.header.Get("Retry-After") == "" || answer.header.Get("X-Mangopier-Run") != "not-run" {
+		t.Errorf("all full: %d %v", answer.status, answer.header)
+	}
+	world.target("s2", "desk", site.NoStage, answerWith("booked"))
+	for range 4 {
+		if answer := world.do(world.request(http.MethodPost, "/book/x")); answer.status != http.StatusOK || answer.body != "booked" {
+			t.Errorf("one free: %d %q", answer.status, answer.body)
+		}
+	}
+}
+
+// A target that is gone is tried once and then left alone.
+func TestUnreachableTargetIsLeftAlone(t *testing.T) {
+	world := newWorld(t)
+	world.target("s1", "desk", site.NoStage, answerWith("ok")).Close()
+	world.target("s2", "desk", site.NoStage, answerWith("ok"))
+	for range 6 {
+		if answer := world.do(world.request(http.MethodPost, "/book/x")); answer.status != http.StatusOK {
+			t.Errorf("answer %d", answer.status)
+		}
+	}
+	if count := strings.Count(world.log.String(), "target does not take connections"); count > 1 {
+		t.Errorf("tried %d times", count)
+	}
+}
+
+// A read that fails is tried elsewhere; the second failure is the caller's, as
+// the target gave it.
+func TestReadIsRepeatedOnce(t *testing.T) {
+	world := newWorld(t)
+	var calls atomic.Int64
+	fail := counted(&calls, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "its own failure")
+	})
+	world.target("s1", "desk", site.NoStage, fail)
+	world.target("s2", "desk", site.NoStage, fail)
+	world.target("s3", "desk", site.NoStage, fail)
+	answer := world.do(world.request(http.MethodGet, "/read/x"))
+	if answer.status != http.StatusInternalServerError || answer.body != "its own failure" || calls.Load() != 2 {
+		t.Errorf("%d %q after %d calls", answer.status, answer.body, calls.Load())
+	}
+}
+
+// What is not the whole answer of the target that was asked is never given on
+// as one.
+func TestSpoiledAnswersAreNotGivenOn(t *testing.T) {
+	spoiled := map[string]http.HandlerFunc{
+		"unsigned": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+			_, _ = io.WriteString(w, "x")
+		},
+		"of another request": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Attempt-Id", "another")
+			w.Header().Set("Response-Signature", "s")
+			_, _ = io.WriteString(w, "x")
+		},
+		"cut short": func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "x")
+			panic(http.ErrAbortHandler)
+		},
+		"coded": func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			w.Header().Set("Content-Encoding", "gzip")
+			_, _ = io.WriteString(w, "x")
+		},
+	}
+	for name, handler := range spoiled {
+		world := newWorld(t)
+		world.target("s1", "desk", site.NoStage, handler)
+		answer := world.do(world.request(http.MethodPost, "/book/x"))
+		if answer.status != http.StatusBadGateway || answer.header.Get("Response-Signature") != "" {
+			t.Errorf("%s: %d %q", name, answer.status, answer.body)
+		}
+	}
+}
+
+// A caller that leaves ends the work at the target.
+func TestCallerThatLeavesEndsTheRun(t *testing.T) {
+	world := newWorld(t)
+	started, ended := make(chan struct{}), make(chan struct{})
+	world.target("p1", "llm", site.Prefill, prefill)
+	world.target("d1", "llm", site.Decode, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		events(w, r, 1)
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	request := world.request(http.MethodPost, "/ask/x").WithContext(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		response, err := http.DefaultTransport.RoundTrip(request)
+		if err == nil {
+			_, _ = io.ReadAll(response.Body)
+			_ = response.Body.Close()
+		}
+	}()
+	<-started
+	cancel()
+	<-ended
+	<-done
+}
+
+// A prompt that was read and is not fetched is freed at its engine.
+func TestPromptThatIsNotFetchedIsFreed(t *testing.T) {
+	world := newWorld(t)
+	freed := make(chan string, 8)
+	world.target("p1", "llm", site.Prefill, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			freed <- r.URL.Path
+			return
+		}
+		prefill(w, r)
+	})
+	answer := world.do(world.request(http.MethodPost, "/ask/x"))
+	if answer.status != http.StatusServiceUnavailable || answer.header.Get("Retry-After") == "" {
+		t.Errorf("without an engine that makes tokens: %d", answer.status)
+	}
+	if path := <-freed; path != "/v1/kv-handle/h1" {
+		t.Errorf("freed %s", path)
+	}
+}
+
+// A request that cannot be served in time is refused at once, before any
+// engine gets it.
+func TestPromptThatCannotBeReadInTimeIsRefusedAtOnce(t *testing.T) {
+	world := newWorld(t)
+	var calls atomic.Int64
+	world.target("p1", "llm", site.Prefill, counted(&calls, prefill))
+	world.target("d1", "llm", site.Decode, counted(&calls, func(w http.ResponseWriter, r *http.Request) { events(w, r, 1) }))
+	request := world.request(http.MethodPost, "/ask/x")
+	request.Header.Set("Token-Count", "400000,80")
+	request.Header.Del("Prompt-Prefix")
+	answer := world.do(request)
+	if answer.status != http.StatusTooManyRequests || calls.Load() != 0 || answer.header.Get("Retry-After") == "" {
+		t.Errorf("%d after %d calls", answer.status, calls.Load())
+	}
+}
+
+// While the instance drains, each answer ends its connection.
+func TestDrainingEndsConnections(t *testing.T) {
+	world := newWorld(t)
+	world.target("s1", "desk", site.NoStage, answerWith("ok"))
+	world.proxy.Drain()
+	response, err := http.DefaultTransport.RoundTrip(world.request(http.MethodGet, "/read/x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if !response.Close || response.StatusCode != http.StatusOK {
+		t.Errorf("%d, close %v", response.StatusCode, response.Close)
+	}
+}
+
+// A manifest never goes back.
+func TestOlderManifestIsNotTaken(t *testing.T) {
+	world := newWorld(t)
+	if world.proxy.SetManifest(testManifest(1)) || !world.proxy.SetManifest(testManifest(5)) || world.proxy.SetManifest(testManifest(4)) {
+		t.Error("versions do not only rise")
+	}
+	if version := world.proxy.Manifest().Version; version != 5 {
+		t.Errorf("version %d is in force", version)
+	}
+}
