--- a/cmd/mangopierd/main.go
+++ b/cmd/mangopierd/main.go
@@ -38,6 +38,7 @@
 type command struct {
 	Settings string `long:"settings" env:"MANGOPIER_SETTINGS" value-name:"FILE" required:"true" description:"settings file of the platform, TOML"`
 	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of the log"`
+	Metrics  int    `long:"metrics-port" value-name:"PORT" description:"port of the metrics; without it, the second of the internal ports"`
 	Check    bool   `long:"check" description:"check the settings and end"`
 	Version  bool   `long:"version" description:"print the version and end"`
 }
@@ -69,6 +70,9 @@
 		fmt.Fprintf(os.Stderr, "mangopierd: %s: %v\n", code.Of(err), err)
 		return exitFailure
 	}
+	if command.Metrics > 0 {
+		settings.MetricsPort = command.Metrics
+	}
 	if command.Check {
 		fmt.Printf("the settings of instance %s are valid\n", settings.Instance)
 		return 0
@@ -98,7 +102,7 @@
 	instance := node.New(settings, platform.NewStore(settings.StoreAddress),
 		platform.NewControl(settings.DutyAddress), platform.Wire{}, logger)
 	logger.Info().Str("part", "mangopierd").Str("version", version).Str("data-center", settings.DataCenter).
-		Bool("first-start", settings.FirstStart).Str("address", settings.FrontAddress).Msg("start")
+		Bool("first-start", settings.FirstStart).Str("address", settings.FrontAddress).Int("metrics-port", settings.MetricsPort).Msg("start")
 	if err := instance.Start(context.Background()); err != nil {
 		logger.Error().Str("part", "mangopierd").Err(err).Int("code", int(code.Of(err))).Msg("instance does not start")
 		return exitFailure
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -49,7 +49,7 @@
 // Follower keeps one copy up to date.
 type Follower struct {
 	source Source
-	copy   Copy
+	target Copy
 	logger zerolog.Logger
 
 	rows     map[string]uint64    // versions of the rows that the copy has
@@ -62,9 +62,9 @@
 }
 
 // New returns a follower of the table that name stands for in the log.
-func New(name string, source Source, copy Copy, logger zerolog.Logger) *Follower {
+func New(name string, source Source, target Copy, logger zerolog.Logger) *Follower {
 	return &Follower{
-		source: source, copy: copy,
+		source: source, target: target,
 		logger: logger.With().Str("part", "follow").Str("table", name).Logger(),
 		rows:   map[string]uint64{}, missing: map[string]time.Time{}, dropped: map[string]uint64{},
 	}
@@ -181,7 +181,7 @@
 		delete(follower.missing, key)
 		follower.drop(key, follower.rows[key])
 	}
-	follower.copy.Apply(changes)
+	follower.target.Apply(changes)
 }
 
 // mostDropped bounds what is remembered of dropped rows.
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -87,43 +87,43 @@
 }
 
 // play follows a source on the test's clock.
-func play(t *testing.T, source *source, steps func(copy *keys)) {
+func play(t *testing.T, source *source, steps func(seen *keys)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		copy := &keys{}
-		done := follow.New("targets", source, copy, zerolog.Nop()).Start(ctx)
-		steps(copy)
+		seen := &keys{}
+		done := follow.New("targets", source, seen, zerolog.Nop()).Start(ctx)
+		steps(seen)
 		cancel()
 		<-done
 	})
 }
 
-func expect(t *testing.T, copy *keys, when, want string) {
+func expect(t *testing.T, seen *keys, when, want string) {
 	t.Helper()
-	if got := copy.String(); got != want {
+	if got := seen.String(); got != want {
 		t.Errorf("%s the copy has %q, want %q", when, got, want)
 	}
 }
 
 func TestChangesAreFollowed(t *testing.T) {
 	source := &source{rows: map[string]uint64{"a": 1, "b": 2}, version: 2}
-	play(t, source, func(copy *keys) {
+	play(t, source, func(seen *keys) {
 		time.Sleep(time.Second)
-		expect(t, copy, "at first", "a b")
+		expect(t, seen, "at first", "a b")
 		source.set(func() {
 			source.changes = []table.Change{{Key: "c", Version: 3}, {Key: "a", Version: 4, Deleted: true}}
 			source.rows, source.version = map[string]uint64{"b": 2, "c": 3}, 4
 		})
 		time.Sleep(3 * time.Second)
-		expect(t, copy, "after the changes", "b c")
+		expect(t, seen, "after the changes", "b c")
 	})
 }
 
 // The store forgets its history while a target leaves: the next list shows it.
 func TestLostHistoryIsListedAnew(t *testing.T) {
 	source := &source{rows: map[string]uint64{"a": 1, "b": 2}, version: 2}
-	play(t, source, func(copy *keys) {
+	play(t, source, func(seen *keys) {
 		time.Sleep(time.Second)
 		source.set(func() {
 			source.rows, source.version = map[string]uint64{"b": 2}, 9
@@ -132,7 +132,7 @@
 		time.Sleep(1100 * time.Millisecond)
 		source.set(func() { source.failure = nil })
 		time.Sleep(4 * time.Second)
-		expect(t, copy, "after the list", "b")
+		expect(t, seen, "after the list", "b")
 	})
 }
 
@@ -140,22 +140,22 @@
 // gone.
 func TestLapsedRowsGetAGrace(t *testing.T) {
 	source := &source{rows: map[string]uint64{"a": 1, "b": 2}, version: 2}
-	play(t, source, func(copy *keys) {
+	play(t, source, func(seen *keys) {
 		time.Sleep(time.Second)
 		source.set(func() { source.failure = code.Errorf(code.StoreDown, "down") })
 		time.Sleep(10 * time.Second)
-		expect(t, copy, "in the outage", "a b")
+		expect(t, seen, "in the outage", "a b")
 		source.set(func() {
 			source.failure, source.rows, source.version = nil, map[string]uint64{}, 3
 		})
 		time.Sleep(1500 * time.Millisecond)
-		expect(t, copy, "just after the return", "a b")
+		expect(t, seen, "just after the return", "a b")
 		source.set(func() {
 			source.rows, source.version = map[string]uint64{"a": 4}, 4
 			source.changes = []table.Change{{Key: "a", Version: 4}}
 		})
 		time.Sleep(6 * time.Second)
-		expect(t, copy, "after the grace", "a")
+		expect(t, seen, "after the grace", "a")
 	})
 }
 
@@ -163,13 +163,13 @@
 // was dropped.
 func TestOlderListDoesNotBringRowsBack(t *testing.T) {
 	source := &source{rows: map[string]uint64{"a": 1}, version: 1}
-	play(t, source, func(copy *keys) {
+	play(t, source, func(seen *keys) {
 		time.Sleep(time.Second)
 		source.set(func() { source.changes, source.version = []table.Change{{Key: "a", Version: 5, Deleted: true}}, 5 })
 		time.Sleep(3 * time.Second)
-		expect(t, copy, "after the drop", "")
+		expect(t, seen, "after the drop", "")
 		time.Sleep(15 * time.Second) // lists anew, with the old row
-		expect(t, copy, "after the old list", "")
+		expect(t, seen, "after the old list", "")
 	})
 }
 
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -178,9 +178,9 @@
 
 // follow returns the follower of a table that comes from the store or from the
 // mirror of another instance, and is served to others in turn.
-func (node *Node) follow(name string, store follow.Source, copy follow.Copy, client *mirror.Client) *follow.Follower {
+func (node *Node) follow(name string, store follow.Source, target follow.Copy, client *mirror.Client) *follow.Follower {
 	source := mirror.NewSource(name, store, client, node.chooseMirror)
-	return follow.New(name, source, node.mirror.Tee(name, copy, source.Heard), node.logger)
+	return follow.New(name, source, node.mirror.Tee(name, target, source.Heard), node.logger)
 }
 
 func (node *Node) listen(ctx context.Context) error {
@@ -266,7 +266,10 @@
 		}
 	}
 	select {
-	case <-node.leased:
+	case err := <-node.leased:
+		if err != nil {
+			node.logger.Warn().Err(err).Str("part", "node").Msg("lease is not released and will lapse")
+		}
 	case <-limit:
 	}
 	for i, server := range node.inner {
@@ -341,8 +344,8 @@
 type manifestCopy struct{ node *Node }
 
 // Apply takes a changed row.
-func (copy manifestCopy) Apply(changes []table.Change) {
-	node := copy.node
+func (manifestCopy manifestCopy) Apply(changes []table.Change) {
+	node := manifestCopy.node
 	for _, change := range changes {
 		if change.Deleted {
 			continue
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -48,7 +48,7 @@
 			if ok {
 				exchange.release(&run)
 			}
-			exchange.conclude(ctx, kept, notRun)
+			exchange.conclude(ctx, kept)
 			return
 		}
 		if crowd >= crowdMost {
@@ -66,7 +66,7 @@
 		}
 		tried = append(tried, run.Target.ID)
 		if !exchange.mayRepeat(ctx, outcome, len(tried)) || !budget.Spend(time.Now()) {
-			exchange.conclude(ctx, kept, outcome)
+			exchange.conclude(ctx, kept)
 			return
 		}
 	}
@@ -93,7 +93,7 @@
 }
 
 // conclude ends a request that is not tried again.
-func (exchange *exchange) conclude(ctx context.Context, kept *kept, outcome verdict) {
+func (exchange *exchange) conclude(ctx context.Context, kept *kept) {
 	if kept != nil {
 		exchange.deliver(kept.answer, kept.body)
 		return
