--- a/cmd/mangopierd/watch.go
+++ b/cmd/mangopierd/watch.go
@@ -53,6 +53,7 @@
 		logger.Error().Err(err).Bool("signaled", signaled).Msg("settings are not valid; the last ones stay")
 		return
 	}
+	next.MetricsPort = settings.MetricsPort // may come from the command line
 	logger.Info().Bool("signaled", signaled).Bool("differ", next != *settings).Msg("settings reloaded")
 	*settings = next
 }
