--- a/cmd/mangopier/demo.go
+++ b/cmd/mangopier/demo.go
@@ -19,7 +19,12 @@
 	LogLevel string        `long:"log-level" default:"info" value-name:"LEVEL" description:"debug, info, warn or error"`
 }
 
-const demoStartTimeout = 20 * time.Second
+const (
+	demoStartTimeout = 20 * time.Second
+	// demoGrace is how long requests in flight may take to end, after which
+	// they are cut.
+	demoGrace = 20 * time.Second
+)
 
 // Execute runs a whole system until a signal or the given time ends it.
 func (command *demoCommand) Execute([]string) error {
@@ -39,6 +44,10 @@
 		return err
 	}
 	awaitEnd(ctx, command.For)
+	graceCtx, cancelGrace := context.WithTimeout(context.WithoutCancel(ctx), demoGrace)
+	defer cancelGrace()
+	cut := running.Shutdown(graceCtx)
+	plan.Logger.Info().Str("part", "demo").Int64("cut", cut).Msg("stop ends")
 	return nil
 }
 
--- a/internal/transport/lab/caller_test.go
+++ b/internal/transport/lab/caller_test.go
@@ -138,6 +138,29 @@
 	}
 }
 
+// The demo was stopped by killing its instances, which cut all streams.
+func TestShutdownOfAllCutsNoStream(t *testing.T) {
+	running := start(t, nil)
+	results := make(chan answer)
+	const streams = 10
+	for range streams {
+		go func() {
+			results <- ask(context.Background(), running, 0, "press", chatBody("is it cold?", 200, true))
+		}()
+	}
+	eventually(t, "all streams", func() bool { return running.Entries[0].Active() == streams })
+	cut := make(chan int64)
+	go func() { cut <- running.Shutdown(context.Background()) }()
+	for range streams {
+		if got := <-results; got.status != 200 || !got.done {
+			t.Errorf("a stream was cut: %+v", got)
+		}
+	}
+	if count := <-cut; count != 0 {
+		t.Errorf("%d requests were cut", count)
+	}
+}
+
 func TestStreamGoesOnAfterEngineCrash(t *testing.T) {
 	running := start(t, func(plan *lab.Plan) {
 		for i := range plan.Engines {
--- a/internal/transport/lab/lab.go
+++ b/internal/transport/lab/lab.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -264,6 +265,19 @@
 	lab.Entries[number].Kill()
 }
 
+// Shutdown stops the entry instances as an operator would: requests in flight
+// end whole until ctx ends. It returns how many were cut. Close is still to be
+// called.
+func (lab *Lab) Shutdown(ctx context.Context) int64 {
+	var cut atomic.Int64
+	var group sync.WaitGroup
+	for _, instance := range lab.Entries {
+		group.Go(func() { cut.Add(instance.Stop(ctx)) })
+	}
+	group.Wait()
+	return cut.Load()
+}
+
 // Close ends everything at once.
 func (lab *Lab) Close() {
 	var group sync.WaitGroup
