--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -221,17 +221,6 @@
 	book.crowded = count > crowd
 }
 
-// Targets returns the listed targets.
-func (book *Book) Targets() []site.Target {
-	book.mutex.Lock()
-	defer book.mutex.Unlock()
-	targets := make([]site.Target, 0, len(book.targets))
-	for _, state := range book.targets {
-		targets = append(targets, state.Target)
-	}
-	return targets
-}
-
 // usable reports whether a target may get new work.
 func (state *state) usable(now time.Time) bool {
 	return !state.Leaving && state.weight > 0 && !now.Before(state.paused) && !now.Before(state.change)
--- a/internal/coordination/tally/report.go
+++ b/internal/coordination/tally/report.go
@@ -32,9 +32,6 @@
 	settleHeartbeats = 2
 )
 
-// expired is how many windows back a row is removed when a new one is written.
-const expired = 20
-
 // Reporter reports the windows that have ended. A window's figures are frozen
 // in a row of the store under the lease before they are sent, so that a
 // successor sends the same.
@@ -136,10 +133,6 @@
 	return standing, nil
 }
 
-// Expired returns the key of a row that is no longer of use once the window
-// given is reported.
-func Expired(window int64) string { return rowOf(window - expired) }
-
 func rowOf(window int64) string {
 	return "usage/" + strconv.FormatInt(window, 10)
 }
--- a/internal/protocol/site/site.go
+++ b/internal/protocol/site/site.go
@@ -15,18 +15,16 @@
 	Instance     string // name of this instance
 	Address      string // own IP
 	DataCenter   string
-	FirstStart   bool       // the whole site starts for the first time
-	FrontAddress string     // IP:port towards callers
-	ReadyAddress string     // IP:port of the balancer's check
-	PeerPort     int        // port towards the other instances, the same on all
-	MetricsPort  int        // port of the metrics
-	StoreAddress string     // IP:port of the platform's store
-	DutyAddress  string     // IP:port that takes usage reports and capacity orders
-	Memory       int64      // bytes that the process may use
-	Bounds       Bounds     // times within which the rules hold
-	Duties       Duties     // which duties there are
-	DutyRate     float64    // duty calls per second of all instances together
-	StoreRates   StoreRates // store calls of all instances together
+	FirstStart   bool   // the whole site starts for the first time
+	FrontAddress string // IP:port towards callers
+	ReadyAddress string // IP:port of the balancer's check
+	PeerPort     int    // port towards the other instances, the same on all
+	MetricsPort  int    // port of the metrics
+	StoreAddress string // IP:port of the platform's store
+	DutyAddress  string // IP:port that takes usage reports and capacity orders
+	Memory       int64  // bytes that the process may use
+	Bounds       Bounds // times within which the rules hold
+	Duties       Duties // which duties there are
 }
 
 // Bounds are the times and shares that the site's rules name.
@@ -49,12 +47,6 @@
 	Capacity bool
 }
 
-// StoreRates are the store calls per second that all instances share.
-type StoreRates struct {
-	Writes float64
-	Reads  float64
-}
-
 // Manifest is one version of what the operator publishes.
 type Manifest struct {
 	Version  int64
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -127,13 +127,6 @@
 	known.Member = added
 }
 
-// Remove forgets an instance that has left for good.
-func (mesh *Mesh) Remove(instance string) {
-	mesh.mutex.Lock()
-	defer mesh.mutex.Unlock()
-	delete(mesh.members, instance)
-}
-
 // Heard records a heartbeat of an instance.
 func (mesh *Mesh) Heard(instance string) {
 	mesh.mutex.Lock()
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -7,13 +7,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-json-experiment/json"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
@@ -227,84 +225,12 @@
 	w.WriteHeader(status)
 }
 
-// Stop takes the instance out of the balancer's rotation and serves on until
-// that has happened. Then it takes no more requests, lets those in flight end,
-// at most for the grace, and ends. It returns how many requests were cut.
-func (node *Node) Stop() int64 {
-	limit := time.Now().Add(node.settings.Bounds.Grace - endSlack)
-	node.stopping.Store(true)
-	node.proxy.Drain()
-	time.Sleep(min(leastOut, time.Until(limit)))
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
-	defer cancel()
-	cut := node.servers[0].Stop(ctx)
-	node.servers[1].Stop(ctx)
-	node.end()
-	return cut
-}
-
-// end stops all goroutines.
-func (node *Node) end() {
-	removeCtx, cancel := context.WithTimeout(context.Background(), endSlack/2)
-	defer cancel()
-	if err := node.store.Remove(removeCtx, memberPrefix+node.settings.Instance); err != nil {
-		node.logger.Warn().Err(err).Str("part", "node").Msg("own row is not removed")
-	}
-	node.cancel()
-	limit := time.After(endSlack / 2)
-	for _, done := range node.ended {
-		select {
-		case <-done:
-		case <-limit:
-			return
-		}
-	}
-	select {
-	case err := <-node.leased:
-		if err != nil {
-			node.logger.Warn().Err(err).Str("part", "node").Msg("lease is not released and will lapse")
-		}
-	case <-limit:
-	}
-	for i, server := range node.inner {
-		_ = server.Close()
-		<-node.served[i]
-	}
-}
-
 // Began counts a request that began to run.
 func (node *Node) Began(team string) {
 	node.busy.Store(true)
 	node.meter.Count(team, node.now())
 }
 
-// now returns true time as far as it is known.
-func (node *Node) now() time.Time {
-	now, _ := node.trueTime()
-	return now
-}
-
-func (node *Node) trueTime() (time.Time, bool) {
-	steady, ok := node.steady()
-	if !ok {
-		return time.Now(), false
-	}
-	offset, ok := node.meter.Offset()
-	if !ok {
-		return time.Now(), false
-	}
-	return time.Unix(0, int64(steady+offset)), true
-}
-
-// steady returns the store's steady clock.
-func (node *Node) steady() (time.Duration, bool) {
-	reading := node.store.Clock()
-	if reading == nil {
-		return 0, false
-	}
-	return reading.Steady + time.Since(reading.Read), true
-}
-
 func (node *Node) situation() duty.Situation {
 	situation := duty.Situation{Manifest: node.proxy.Manifest()}
 	if targets := node.targets.Load(); targets != nil {
@@ -362,74 +288,3 @@
 	manifestTable = "manifest"
 	targetTable   = "targets"
 )
-
-const memberPrefix = "member/"
-
-// memberRow is the row by which the instances find each other.
-type memberRow struct {
-	Address    string `json:"address"`
-	DataCenter string `json:"data-center"`
-}
-
-// keepMembers writes the instance's own row and reads those of the others.
-func (node *Node) keepMembers(ctx context.Context) <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		written := false
-		for ctx.Err() == nil {
-			wait := memberRead
-			if !written {
-				written = node.writeMember(ctx)
-			}
-			if !node.readMembers(ctx) || !written {
-				wait = memberRetry
-			}
-			timer := time.NewTimer(wait)
-			select {
-			case <-ctx.Done():
-			case <-timer.C:
-			}
-			timer.Stop()
-		}
-	}()
-	return done
-}
-
-func (node *Node) writeMember(ctx context.Context) bool {
-	address := net.JoinHostPort(node.settings.Address, fmt.Sprint(node.settings.PeerPort))
-	value, err := json.Marshal(memberRow{Address: address, DataCenter: node.settings.DataCenter})
-	if err == nil {
-		err = node.store.Put(ctx, memberPrefix+node.settings.Instance, value)
-	}
-	if err != nil {
-		node.logger.Warn().Str("part", "node").Err(err).Msg("own row is not written")
-	}
-	return err == nil
-}
-
-func (node *Node) readMembers(ctx context.Context) bool {
-	page, err := node.store.Own(ctx, memberPrefix)
-	if err != nil {
-		return false
-	}
-	for _, change := range page.Changes {
-		var row memberRow
-		err := json.Unmarshal(change.Value, &row)
-		address, failure := netip.ParseAddrPort(row.Address)
-		if err != nil || failure != nil {
-			node.logger.Warn().Str("part", "node").Str("row", change.Key).Msg("row names no instance")
-			continue
-		}
-		node.mesh.Add(mesh.Member{Instance: change.Key[len(memberPrefix):], DataCenter: row.DataCenter, Address: address})
-	}
-	return true
-}
-
-// standbys is how many instances watch the lease closely, so that the loss of
-// a few at once leaves one.
-const standbys = 5
-
-func (node *Node) standby() bool {
-	return lease.Standby(leaseDuty, node.settings.Instance, node.mesh.Live(), standbys)
-}
