Keep what is left of the budget of extra calls when instances change

The part that is left is kept now, and an instance takes itself for one of six at least, as it does not know the others at first. Test: TestBudgetIsNotFilledByChangesAmongInstances, failing before with 150 extra calls for 50 requests.

--- a/internal/transport/proxy/call_test.go
+++ b/internal/transport/proxy/call_test.go
@@ -275,3 +275,23 @@
 		t.Errorf("version %d is in force", version)
 	}
 }
+
+// Pattern: on a large site instances come and go all the time. Dividing the
+// budget of extra calls anew must not fill it.
+func TestBudgetIsNotFilledByChangesAmongInstances(t *testing.T) {
+	world := newWorld(t)
+	var calls atomic.Int64
+	for _, id := range []string{"s1", "s2", "s3", "s4"} {
+		world.target(id, "desk", site.NoStage, counted(&calls, full))
+	}
+	const requests = 50
+	for range requests {
+		world.do(world.request(http.MethodPost, "/book/x"))
+		world.proxy.ResetBudgets()
+	}
+	// A fifth of the requests and the slack of 600 are allowed in all; this
+	// instance is taken to be one of six at least.
+	if extra := calls.Load() - requests; extra > requests/5+600/6 {
+		t.Errorf("%d calls beyond the first of %d requests", extra, requests)
+	}
+}
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -151,22 +151,39 @@
 // late.
 const budgetShare = 0.6
 
+// leastMembers is how many instances there are taken to be at least: one that
+// has just started does not know the others yet. The smallest site has six.
+const leastMembers = 6
+
 // budget returns the allowance of extra calls to a service.
 func (proxy *Proxy) budget(service string) *retry.Budget {
 	if budget, ok := proxy.budgets.Load(service); ok {
 		return budget.(*retry.Budget) //nolint:forcetypeassert // the map holds budgets only
 	}
-	members := float64(max(1, proxy.members()))
+	budget, _ := proxy.budgets.LoadOrStore(service, proxy.newBudget())
+	return budget.(*retry.Budget) //nolint:forcetypeassert // the map holds budgets only
+}
+
+// newBudget returns a full budget of one instance's part.
+func (proxy *Proxy) newBudget() *retry.Budget {
+	members := float64(max(leastMembers, proxy.members()))
 	slack := budgetShare * proxy.bounds.RetrySlack / members
 	window := max(1, proxy.bounds.RetryWindow.Seconds())
-	budget, _ := proxy.budgets.LoadOrStore(service,
-		retry.NewBudget(budgetShare*proxy.bounds.RetryRatio, slack/2/window, max(1, slack/2)))
-	return budget.(*retry.Budget) //nolint:forcetypeassert // the map holds budgets only
+	return retry.NewBudget(budgetShare*proxy.bounds.RetryRatio, slack/2/window, max(1, slack/2))
 }
 
 // ResetBudgets divides the allowance anew, after the number of instances has
-// changed. Budgets start full, so this must not come often.
-func (proxy *Proxy) ResetBudgets() { proxy.budgets.Clear() }
+// changed. What was left is kept and not filled up.
+func (proxy *Proxy) ResetBudgets() {
+	proxy.budgets.Range(func(service, old any) bool {
+		left := old.(*retry.Budget).Left() //nolint:forcetypeassert // the map holds budgets only
+		budget := proxy.newBudget()
+		for budget.Left() > left && budget.Spend(time.Now()) {
+		}
+		proxy.budgets.Store(service, budget)
+		return true
+	})
+}
 
 // observe tells the health of targets how a request at one ended.
 func (proxy *Proxy) observe(event health.Event) {
