Do not send on a prompt that was not read once the budget is spent

It is refused now, truly not run, with when to come back. Test: TestUnreadPromptKeepsToTheBudget, failing before with 200 extra calls for 200 requests.

--- a/internal/transport/proxy/call_test.go
+++ b/internal/transport/proxy/call_test.go
@@ -295,3 +295,23 @@
 		t.Errorf("%d calls beyond the first of %d requests", extra, requests)
 	}
 }
+
+// Pattern: engines are lost faster than the list shows. A prompt that could
+// not be read is not sent on once the budget of extra calls is spent.
+func TestUnreadPromptKeepsToTheBudget(t *testing.T) {
+	world := newWorld(t)
+	var calls atomic.Int64
+	world.target("p1", "llm", site.Prefill, counted(&calls, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	world.target("d1", "llm", site.Decode, counted(&calls, func(w http.ResponseWriter, r *http.Request) { events(w, r, 1) }))
+	const requests = 200
+	for range requests {
+		answer := world.do(world.request(http.MethodPost, "/ask/x"))
+		refused := answer.status == http.StatusServiceUnavailable && answer.header.Get("X-Mangopier-Run") == "not-run"
+		if answer.status != http.StatusOK && !refused {
+			t.Fatalf("answer %d", answer.status)
+		}
+	}
+	if extra := calls.Load() - requests; extra > requests/5+600/6 {
+		t.Errorf("%d calls beyond the first of %d requests", extra, requests)
+	}
+}
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -110,7 +110,7 @@
 			return nil, "", err
 		}
 		if !proxy.budget(exchange.service.Name).Spend(time.Now()) {
-			return nil, "", nil
+			return nil, "", exchange.noRoom(code.NoTarget, time.Second)
 		}
 	}
 	return nil, "", nil
