--- a/internal/coordination/oracle/faults_test.go
+++ b/internal/coordination/oracle/faults_test.go
@@ -33,6 +33,7 @@
 var faults = []fault{
 	{"killed", (*life).kill, nothing},
 	{"paused", (*life).pause, (*life).wake},
+	{"paused (messages first)", (*life).pause, (*life).wakeAsked},
 	{
 		"store down",
 		func(life *life) { life.world.set(func() { life.world.down = true }) },
@@ -188,7 +189,8 @@
 Written by ` + "`go test ./internal/coordination/oracle -run TestFaults -args -update`" + `;
 the same test without the argument fails when this page is out of date. Each
 line is one fault at one step of one operation, and what came of it. A fault
-that passes lasts 25 s; the outcome is judged after 75 s.
+that passes lasts 25 s; the outcome is judged after 75 s. After a pause the
+instance goes on with its own work before it takes messages, or the reverse.
 `
 
 // writeRows writes one line for all faults with the same outcome at a step.
--- a/internal/coordination/oracle/life_test.go
+++ b/internal/coordination/oracle/life_test.go
@@ -17,6 +17,11 @@
 	"mangopier.example/mangopier/internal/state/memory"
 )
 
+// turnTime is how much later messages get through than own work, or the reverse,
+// when an instance goes on. Any time is right, as all that can go on without
+// waiting does so before the clock of the test moves.
+const turnTime = time.Millisecond
+
 // life is one instance from its start to its end. Everything that it does to
 // its surroundings passes its gate, which a pause closes.
 type life struct {
@@ -31,7 +36,9 @@
 	work    sync.WaitGroup
 
 	mu     sync.Mutex
-	resume chan struct{} // nil while it runs
+	own    barrier     // for its own work
+	mail   barrier     // for messages of others
+	later  *time.Timer // opens the second of the two barriers
 	killed chan struct{}
 
 	members *gossip.Members
@@ -128,11 +135,33 @@
 	}
 }
 
+// barrier holds up goroutines while the instance is paused. The instance's mutex
+// guards it.
+type barrier struct{ resume chan struct{} } // nil while it runs
+
+func (barrier *barrier) close() {
+	if barrier.resume == nil {
+		barrier.resume = make(chan struct{})
+	}
+}
+
+func (barrier *barrier) open() {
+	if barrier.resume != nil {
+		close(barrier.resume)
+		barrier.resume = nil
+	}
+}
+
 // gate blocks while the instance is paused and fails once it is killed.
-func (life *life) gate() error {
+func (life *life) gate() error { return life.pass(&life.own) }
+
+// listen is the gate of messages that reach the instance.
+func (life *life) listen() error { return life.pass(&life.mail) }
+
+func (life *life) pass(barrier *barrier) error {
 	for {
 		life.mu.Lock()
-		resume := life.resume
+		resume := barrier.resume
 		life.mu.Unlock()
 		if life.dead() {
 			return code.Errorf(code.StoreDown, "%s is killed", life.id)
@@ -159,24 +188,42 @@
 func (life *life) paused() bool {
 	life.mu.Lock()
 	defer life.mu.Unlock()
-	return life.resume != nil
+	return life.own.resume != nil
 }
 
 func (life *life) pause() {
 	life.mu.Lock()
 	defer life.mu.Unlock()
-	if life.resume == nil {
-		life.resume = make(chan struct{})
+	life.own.close()
+	life.mail.close()
+	if life.later != nil {
+		life.later.Stop()
+		life.later = nil
 	}
 }
 
-func (life *life) wake() {
+// wake lets the instance go on. What it was doing comes before the messages
+// that wait for it.
+func (life *life) wake() { life.openInTurn(&life.own, &life.mail) }
+
+// wakeAsked lets the instance go on, the messages that wait for it first.
+func (life *life) wakeAsked() { life.openInTurn(&life.mail, &life.own) }
+
+func (life *life) openInTurn(first, second *barrier) {
 	life.mu.Lock()
 	defer life.mu.Unlock()
-	if life.resume != nil {
-		close(life.resume)
-		life.resume = nil
+	first.open()
+	if second.resume == nil || life.later != nil {
+		return
 	}
+	life.later = time.AfterFunc(turnTime, func() {
+		life.mu.Lock()
+		defer life.mu.Unlock()
+		if life.later != nil {
+			second.open()
+			life.later = nil
+		}
+	})
 }
 
 // kill ends the instance at once: nothing that it does has an effect any more.
--- a/internal/coordination/oracle/store_test.go
+++ b/internal/coordination/oracle/store_test.go
@@ -89,7 +89,7 @@
 // arrive waits until the instance takes a message or the sender gives up.
 func (life *life) arrive(ctx context.Context) error {
 	taken := make(chan error, 1)
-	go func() { taken <- life.gate() }()
+	go func() { taken <- life.listen() }()
 	select {
 	case err := <-taken:
 		return err
