Engines fetch what others keep of a prompt

Reading 13,300 tokens takes 260 ms and more; fetching their memory takes about 12 ms. Ruled out: too few engines (refusals 0.5%), engines without cached parts after their loss (as many tokens were read again before the first loss).

A reading now names the engine, nearest first, that has read most of the prompt, and the choice of an engine counts the time to fetch. Parts still being read are no source. The log line tells cached and fetched tokens.

--- a/internal/coordination/place/cache.go
+++ b/internal/coordination/place/cache.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -30,6 +31,7 @@
 type entry struct {
 	name   uint64
 	tokens int
+	ready  time.Time // when the engine has read it
 }
 
 func newCache(capacity int) *cache {
@@ -48,25 +50,42 @@
 	return tokens
 }
 
-// use records that the engine reads parts.
-func (cache *cache) use(parts []namedPart) {
+// ready returns the tokens of the leading parts that others can fetch from the
+// engine, since it has read them.
+func (cache *cache) ready(parts []namedPart, now time.Time) int {
+	tokens := 0
+	for _, part := range parts {
+		element, ok := cache.entries[part.Name]
+		if !ok || now.Before(element.Value.(*entry).ready) { //nolint:forcetypeassert // the list holds entries only
+			return tokens
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// use records that the engine will have read parts at some time.
+func (cache *cache) use(parts []namedPart, ready time.Time) {
 	for i := len(parts) - 1; i >= 0; i-- {
-		cache.touch(parts[i])
+		cache.touch(parts[i], ready)
 	}
 	for cache.tokens > cache.capacity {
 		oldest := cache.recent.Back()
-		evicted := cache.recent.Remove(oldest).(entry) //nolint:forcetypeassert // the list holds entries only
+		evicted := cache.recent.Remove(oldest).(*entry) //nolint:forcetypeassert // the list holds entries only
 		delete(cache.entries, evicted.name)
 		cache.tokens -= evicted.tokens
 	}
 }
 
-func (cache *cache) touch(part namedPart) {
+func (cache *cache) touch(part namedPart, ready time.Time) {
 	if element, ok := cache.entries[part.Name]; ok {
 		cache.recent.MoveToFront(element)
+		if kept := element.Value.(*entry); ready.Before(kept.ready) { //nolint:forcetypeassert // the list holds entries only
+			kept.ready = ready
+		}
 		return
 	}
-	cache.entries[part.Name] = cache.recent.PushFront(entry{name: part.Name, tokens: part.Tokens})
+	cache.entries[part.Name] = cache.recent.PushFront(&entry{name: part.Name, tokens: part.Tokens, ready: ready})
 	cache.tokens += part.Tokens
 }
 
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -35,6 +35,8 @@
 	WorkMS float64 // expected wait before the work, and the work
 	LessMS float64 // less urgent work in flight at the engine
 	Cached int     // tokens that the engine is taken to keep
+	Source string  // address of the engine from which it fetches more, empty for none
+	Fetch  int     // tokens that it fetches
 
 	parts []namedPart
 	tier  int
@@ -55,12 +57,14 @@
 	now := time.Now()
 	engines := book.readers(service, except, now)
 	owner := book.ownerOf(engines, parts)
+	sources := book.sources(service, parts, now)
 	var best *state
 	var choice Reading
 	bestCost := 0.0
 	for _, state := range engines {
 		cached := min(state.cache.kept(parts), max(0, prompt.Tokens-1))
-		work := state.pace * workMS(prompt.Tokens, cached)
+		offer, work := state.fetch(prompt.Tokens, cached, sources)
+		work *= state.pace
 		ahead := state.pace * (state.own.ahead(tier) + state.others.ahead(tier))
 		less := state.own.ahead(tiers-1) + state.others.ahead(tiers-1) - state.own.ahead(tier) - state.others.ahead(tier)
 		cost := (ahead + min(state.pace*less, lessMostMS) + work) / state.weight
@@ -72,7 +76,10 @@
 		cost += state.briefCost(work)
 		if best == nil || cost < bestCost {
 			best, bestCost = state, cost
-			choice = Reading{Target: state.Target, AheadMS: ahead, WorkMS: work, LessMS: state.pace * less, Cached: cached}
+			choice = Reading{
+				Target: state.Target, AheadMS: ahead, WorkMS: work, LessMS: state.pace * less, Cached: cached,
+				Source: offer.address, Fetch: max(0, offer.tokens-cached),
+			}
 		}
 	}
 	if best == nil {
@@ -80,8 +87,9 @@
 	}
 	choice.parts, choice.tier, choice.begun = parts, tier, now
 	best.own.WorkMS[tier] += choice.WorkMS
-	best.cache.use(parts)
-	book.reads = append(book.reads, Read{Target: best.ID, Parts: parts})
+	expected := time.Duration(choice.ExpectedMS() * float64(time.Millisecond))
+	best.cache.use(parts, now.Add(expected))
+	book.reads = append(book.reads, Read{Target: best.ID, Parts: parts, TakesMS: float32(choice.ExpectedMS())})
 	return choice, true
 }
 
@@ -111,6 +119,7 @@
 	if !answered {
 		return
 	}
+	state.cache.use(reading.parts, time.Now())
 	took := float64(time.Since(reading.begun)) / float64(time.Millisecond)
 	ratio := took / max(1, reading.ExpectedMS())
 	state.pace += paceGain * (min(max(ratio*state.pace, paceLeast), paceMost) - state.pace)
@@ -196,11 +205,7 @@
 
 func (state *state) generationCost(need, tokens int, from string) (cost, move float64) {
 	engine := state.engine
-	bits := float64(tokens) * engine.TokenBytes * 8
-	move = moveSetupMS + bits/(max(1, engine.LinkMbps)*1e3)
-	if from != state.DataCenter {
-		move = move*crossingFactor + crossingPenalty
-	}
+	move = state.moveMS(tokens, from)
 	tokensHeld := float64(state.own.Tokens + state.others.Tokens + need)
 	runs := state.own.Runs + state.others.Runs
 	held := tokensHeld / max(1, memoryMost*float64(engine.Memory))
--- a/internal/coordination/place/share.go
+++ b/internal/coordination/place/share.go
@@ -24,6 +24,8 @@
 type Read struct {
 	Target string      `cbor:"1,keyasint"`
 	Parts  []namedPart `cbor:"2,keyasint"`
+	// TakesMS is the expected time until the parts are read.
+	TakesMS float32 `cbor:"3,keyasint"`
 }
 
 // peer is the newest share of another instance.
@@ -66,7 +68,8 @@
 	now := time.Now()
 	for _, read := range share.Reads {
 		if state, ok := book.targets[read.Target]; ok && state.cache != nil {
-			state.cache.use(read.Parts)
+			takes := time.Duration(read.TakesMS * float32(time.Millisecond))
+			state.cache.use(read.Parts, now.Add(takes))
 		}
 	}
 	share.Reads = nil
--- a/internal/protocol/site/site.go
+++ b/internal/protocol/site/site.go
@@ -253,6 +253,7 @@
 	Urgency     int // 0 to 9, 0 first
 	PrefillOnly bool
 	Source      *Handle // prompt to fetch, nil for none
+	FetchFrom   string  // IP:port of an engine that keeps parts of the prompt, empty for none
 	ResumeAfter string
 }
 
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -41,6 +41,8 @@
 	aheadMS float64       // expected wait of the last choice of a target
 	workMS  float64
 	lessMS  float64 // less urgent work in flight there
+	cached  int     // tokens of the prompt that the engine was taken to keep
+	fetched int     // tokens that it was told to fetch from another engine
 	tries   []try
 }
 
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -96,6 +96,7 @@
 			return nil, "", nil
 		}
 		exchange.aheadMS, exchange.workMS, exchange.lessMS = reading.AheadMS, reading.WorkMS, reading.LessMS
+		exchange.cached, exchange.fetched = reading.Cached, reading.Fetch
 		if err := exchange.fits(&reading); err != nil && len(tried) == 0 {
 			proxy.book.ReadDone(&reading, false)
 			return nil, "", err
@@ -146,7 +147,7 @@
 	target := reading.Target
 	answer, reply, err := exchange.send(ctx, &site.Call{
 		Target: target, Remaining: exchange.remaining(), Team: exchange.team.Name,
-		Urgency: exchange.urgency(), PrefillOnly: true,
+		Urgency: exchange.urgency(), PrefillOnly: true, FetchFrom: reading.Source,
 	})
 	if err != nil {
 		exchange.lost(target, err)
--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -60,7 +60,8 @@
 		event.Int64("deadline-ms", exchange.deadline.Sub(exchange.begun).Milliseconds())
 	}
 	if exchange.workMS > 0 {
-		event.Float64("ahead-ms", round(exchange.aheadMS)).Float64("work-ms", round(exchange.workMS)).Float64("less-ms", round(exchange.lessMS))
+		event.Float64("ahead-ms", round(exchange.aheadMS)).Float64("work-ms", round(exchange.workMS)).Float64("less-ms", round(exchange.lessMS)).
+			Int("cached", exchange.cached).Int("fetched", exchange.fetched)
 	}
 	if exchange.pause > 0 {
 		event.Int64("pause-ms", exchange.pause.Milliseconds())
