Tell the way to an engine from its work

The way counts in what a reading is expected to take, not as work ahead of others.

Test: TestWayToAnEngineIsNoSlowness, failing before (896 ms expected for 379).

--- a/internal/coordination/place/place_test.go
+++ b/internal/coordination/place/place_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mangopier.example/mangopier/internal/coordination/place"
@@ -181,3 +182,23 @@
 		t.Errorf("full targets show %.2f calls a slot", crowd)
 	}
 }
+
+// The way to an engine and back is the same for all prompts. It must not make
+// the engine look slow, or large prompts would be expected to take twice as
+// long as they do.
+func TestWayToAnEngineIsNoSlowness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := newBook(engine("p1", "tas-a", site.Prefill))
+		before := mustRead(t, book, prompt("large", 16_000))
+		book.ReadDone(&before, false)
+		for i := range 40 {
+			small := mustRead(t, book, prompt(fmt.Sprint(i), 1_100))
+			time.Sleep(60 * time.Millisecond) // 22 ms of work and the way
+			book.ReadDone(&small, true)
+		}
+		after := mustRead(t, book, prompt("larger", 16_000))
+		if after.WorkMS > 1.2*before.WorkMS {
+			t.Errorf("a large prompt is expected to take %.0f ms after small ones, %.0f ms before", after.WorkMS, before.WorkMS)
+		}
+	})
+}
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -15,7 +15,8 @@
 const (
 	tokensPerMS     = 55.0  // prompt tokens read per millisecond: 51.1 and 64.2
 	pairsMSPerM     = 0.65  // milliseconds per million pairs of tokens
-	setupMS         = 5.0   // of one reading, with the way there and back
+	setupMS         = 5.0   // of one reading
+	wayMS           = 35.0  // of one reading beside the work, during which the engine serves others
 	moveSetupMS     = 4.0   // of one move, with the way there and back
 	crossingFactor  = 2.0   // a move between data centres against one within
 	crossingPenalty = 15.0  // milliseconds that a move between data centres counts more, for its price
@@ -44,7 +45,7 @@
 }
 
 // ExpectedMS returns the expected time until the prompt is read.
-func (reading *Reading) ExpectedMS() float64 { return reading.AheadMS + reading.WorkMS }
+func (reading *Reading) ExpectedMS() float64 { return reading.AheadMS + reading.WorkMS + wayMS }
 
 // Read chooses the engine that is expected to have read a prompt first and
 // counts the work there until Release. Engines in except are left out. It
