Prompts that are refused leave no trace in the book

Cause, found in reading the code: the book noted a prompt as read by the engine that it chose, and told the others so, before the check whether the prompt could be read in time. After a refusal, all instances took the parts to be kept there and, since fetches exist, would have sent others to fetch them.

The choice of an engine and the begin of a reading are two calls now.

Test: TestChoiceAloneLeavesNoTrace.

--- a/internal/coordination/place/fetch_test.go
+++ b/internal/coordination/place/fetch_test.go
@@ -20,7 +20,7 @@
 			t.Errorf("the first fetches from %q", first.Source)
 		}
 		book.ReadDone(&first, true)
-		again, ok := book.Read("llm", prompt("dossier", 16_000), 0, []string{first.Target.ID})
+		again, ok := read(book, "llm", prompt("dossier", 16_000), 0, []string{first.Target.ID})
 		if !ok || again.Source != first.Target.Address || again.Cached != 0 || again.Fetch < 12_000 {
 			t.Fatalf("%+v, want a fetch from %s", again, first.Target.Address)
 		}
@@ -38,14 +38,14 @@
 		first := mustRead(t, book, prompt("dossier", 16_000))
 		except := []string{first.Target.ID}
 		other.Merge("book", book.Export())
-		if early, _ := book.Read("llm", prompt("dossier", 16_000), 0, except); early.Source != "" {
+		if early, _ := read(book, "llm", prompt("dossier", 16_000), 0, except); early.Source != "" {
 			t.Errorf("fetches from %q, which reads it", early.Source)
 		}
-		if early, _ := other.Read("llm", prompt("dossier", 16_000), 0, except); early.Source != "" {
+		if early, _ := read(other, "llm", prompt("dossier", 16_000), 0, except); early.Source != "" {
 			t.Errorf("the other instance fetches from %q, which reads it", early.Source)
 		}
 		time.Sleep(2 * time.Duration(first.ExpectedMS()*float64(time.Millisecond)))
-		if late, _ := other.Read("llm", prompt("dossier", 16_000), 0, except); late.Source == "" && late.Cached == 0 {
+		if late, _ := read(other, "llm", prompt("dossier", 16_000), 0, except); late.Source == "" && late.Cached == 0 {
 			t.Errorf("%+v reads all of it again", late)
 		}
 	})
@@ -62,11 +62,11 @@
 		}
 		book := newBook(targets...)
 		for _, except := range [][]string{{"p2", "p3"}, {"p1", "p3"}} {
-			reading, _ := book.Read("llm", prompt("dossier", 16_000), 0, except)
+			reading, _ := read(book, "llm", prompt("dossier", 16_000), 0, except)
 			book.ReadDone(&reading, true)
 		}
 		third := func() string {
-			reading, _ := book.Read("llm", prompt("dossier", 16_000), 0, []string{"p1", "p2"})
+			reading, _ := read(book, "llm", prompt("dossier", 16_000), 0, []string{"p1", "p2"})
 			book.ReadDone(&reading, false)
 			return reading.Source
 		}
@@ -89,3 +89,20 @@
 		}
 	})
 }
+
+// A prompt that is refused after the choice of an engine is not read there:
+// nobody is told so, and nobody fetches it from there.
+func TestChoiceAloneLeavesNoTrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := newBook(engine("p1", "tas-a", site.Prefill), engine("p2", "tas-a", site.Prefill))
+		for range 3 {
+			if choice, ok := book.Choose("llm", prompt("dossier", 16_000), 0, nil); !ok || choice.Cached != 0 || choice.AheadMS != 0 {
+				t.Fatalf("%+v", choice)
+			}
+			time.Sleep(time.Second)
+		}
+		if share := book.Export(); len(share.Reads) != 0 || len(share.Loads) != 0 {
+			t.Errorf("the others are told %+v", share)
+		}
+	})
+}
--- a/internal/coordination/place/place_test.go
+++ b/internal/coordination/place/place_test.go
@@ -32,9 +32,18 @@
 	}}
 }
 
+// read chooses an engine for a prompt and begins to read it there.
+func read(book *place.Book, service string, prompt *site.Prompt, urgency int, except []string) (place.Reading, bool) {
+	reading, ok := book.Choose(service, prompt, urgency, except)
+	if ok {
+		book.Begin(&reading)
+	}
+	return reading, ok
+}
+
 func mustRead(t *testing.T, book *place.Book, prompt *site.Prompt) place.Reading {
 	t.Helper()
-	reading, ok := book.Read("llm", prompt, 0, nil)
+	reading, ok := read(book, "llm", prompt, 0, nil)
 	if !ok {
 		t.Fatal("no engine to read")
 	}
@@ -74,9 +83,9 @@
 // engine that reads a long one.
 func TestShortPromptsAvoidLongOnes(t *testing.T) {
 	book := newBook(engine("p1", "tas-a", site.Prefill), engine("p2", "tas-a", site.Prefill))
-	long, _ := book.Read("llm", prompt("long", 50_000), 2, nil)
+	long, _ := read(book, "llm", prompt("long", 50_000), 2, nil)
 	for i := range 4 {
-		short, _ := book.Read("llm", prompt(fmt.Sprint(i), 1_200), 0, nil)
+		short, _ := read(book, "llm", prompt(fmt.Sprint(i), 1_200), 0, nil)
 		if short.Target.ID == long.Target.ID {
 			t.Errorf("short prompt %d goes to %s behind the long one", i, short.Target.ID)
 		}
@@ -98,7 +107,7 @@
 		}
 	}
 	book.SetWeights(map[string]float64{"p4": 0})
-	if _, ok := book.Read("llm", prompt("x", 4_000), 0, nil); ok {
+	if _, ok := read(book, "llm", prompt("x", 4_000), 0, nil); ok {
 		t.Error("an ejected engine is used")
 	}
 }
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -47,10 +47,10 @@
 // ExpectedMS returns the expected time until the prompt is read.
 func (reading *Reading) ExpectedMS() float64 { return reading.AheadMS + reading.WorkMS + wayMS }
 
-// Read chooses the engine that is expected to have read a prompt first and
-// counts the work there until Release. Engines in except are left out. It
-// returns false if there is no engine to choose.
-func (book *Book) Read(service string, prompt *site.Prompt, urgency int, except []string) (Reading, bool) {
+// Choose chooses the engine that is expected to have read a prompt first.
+// Engines in except are left out. It returns false if there is no engine to
+// choose.
+func (book *Book) Choose(service string, prompt *site.Prompt, urgency int, except []string) (Reading, bool) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
 	parts := nameParts(prompt)
@@ -86,14 +86,25 @@
 	if best == nil {
 		return Reading{}, false
 	}
-	choice.parts, choice.tier, choice.begun = parts, tier, now
-	best.own.WorkMS[tier] += choice.WorkMS
-	expected := time.Duration(choice.ExpectedMS() * float64(time.Millisecond))
-	best.cache.use(parts, now.Add(expected))
-	book.reads = append(book.reads, Read{Target: best.ID, Parts: parts, TakesMS: float32(choice.ExpectedMS())})
+	choice.parts, choice.tier = parts, tier
 	return choice, true
 }
 
+// Begin counts the work of a reading at its engine until ReadDone.
+func (book *Book) Begin(reading *Reading) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	reading.begun = time.Now()
+	state, ok := book.targets[reading.Target.ID]
+	if !ok || state.cache == nil {
+		return
+	}
+	state.own.WorkMS[reading.tier] += reading.WorkMS
+	expected := time.Duration(reading.ExpectedMS() * float64(time.Millisecond))
+	state.cache.use(reading.parts, reading.begun.Add(expected))
+	book.reads = append(book.reads, Read{Target: state.ID, Parts: reading.parts, TakesMS: float32(reading.ExpectedMS())})
+}
+
 // crowdCost is what an engine costs more in a large site, where loads are known
 // late: instances must not all choose the one that was idle a moment ago.
 func (book *Book) crowdCost(state *state) float64 {
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -91,16 +91,16 @@
 	proxy := exchange.proxy
 	var tried []string
 	for len(tried) < mostReadings {
-		reading, ok := proxy.book.Read(exchange.service.Name, exchange.request.Prompt, exchange.urgency(), tried)
+		reading, ok := proxy.book.Choose(exchange.service.Name, exchange.request.Prompt, exchange.urgency(), tried)
 		if !ok {
 			return nil, "", nil
 		}
 		exchange.aheadMS, exchange.workMS, exchange.lessMS = reading.AheadMS, reading.WorkMS, reading.LessMS
 		exchange.cached, exchange.fetched = reading.Cached, reading.Fetch
 		if err := exchange.fits(&reading); err != nil && len(tried) == 0 {
-			proxy.book.ReadDone(&reading, false)
 			return nil, "", err
 		}
+		proxy.book.Begin(&reading)
 		handle, outcome := exchange.readAt(ctx, &reading)
 		proxy.book.ReadDone(&reading, outcome == answered)
 		if outcome == answered {
