After a pause, successors ask before own work goes on for 5 s

Cause: with messages let through only 1 ms before own work, a successor's question came first only if one was under way at that moment; between two questions, up to 3 s, the order left. 1 of 9 runs of TestFaults with -race beside load gave "done" for the row "4 after commit platform-order/kosice-1 | paused (messages first)".

--- a/internal/coordination/oracle/life_test.go
+++ b/internal/coordination/oracle/life_test.go
@@ -17,10 +17,15 @@
 	"mangopier.example/mangopier/internal/state/memory"
 )
 
-// turnTime is how much later messages get through than own work, or the reverse,
-// when an instance goes on. Any time is right, as all that can go on without
-// waiting does so before the clock of the test moves.
-const turnTime = time.Millisecond
+const (
+	// mailTurn is how much later messages get through than own work when an
+	// instance goes on. Any time is right, as all that can go on without
+	// waiting does so before the clock of the test moves.
+	mailTurn = time.Millisecond
+	// ownTurn is how much later own work goes on than messages get through.
+	// Successors ask again within it: each second, waiting 2 s for an answer.
+	ownTurn = 5 * time.Second
+)
 
 // life is one instance from its start to its end. Everything that it does to
 // its surroundings passes its gate, which a pause closes.
@@ -204,19 +209,19 @@
 
 // wake lets the instance go on. What it was doing comes before the messages
 // that wait for it.
-func (life *life) wake() { life.openInTurn(&life.own, &life.mail) }
+func (life *life) wake() { life.openInTurn(&life.own, &life.mail, mailTurn) }
 
 // wakeAsked lets the instance go on, the messages that wait for it first.
-func (life *life) wakeAsked() { life.openInTurn(&life.mail, &life.own) }
+func (life *life) wakeAsked() { life.openInTurn(&life.mail, &life.own, ownTurn) }
 
-func (life *life) openInTurn(first, second *barrier) {
+func (life *life) openInTurn(first, second *barrier, turn time.Duration) {
 	life.mu.Lock()
 	defer life.mu.Unlock()
 	first.open()
 	if second.resume == nil || life.later != nil {
 		return
 	}
-	life.later = time.AfterFunc(turnTime, func() {
+	life.later = time.AfterFunc(turn, func() {
 		life.mu.Lock()
 		defer life.mu.Unlock()
 		if life.later != nil {
