A stream that goes on elsewhere fetches its prompt

Cause: an engine that takes over a stream, or a request that another engine did not run, read the prompt by itself, at half the speed and between the tokens of other requests, since the handle was taken or freed. The engine that read the prompt still keeps it.

Test: TestStreamThatGoesOnFetchesItsPrompt.

--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -29,11 +29,12 @@
 func (exchange *exchange) generate(ctx context.Context) {
 	exchange.proxy.budget(exchange.service.Name).Fresh()
 	stream := &stream{exchange: exchange, last: exchange.request.ResumeAfter}
-	handle, from, err := exchange.read(ctx)
+	handle, reader, err := exchange.read(ctx)
 	if err != nil {
 		exchange.refuse(err)
 		return
 	}
+	from := reader.DataCenter
 	var tried []string
 	for {
 		run, ok := exchange.proxy.book.Generate(exchange.service.Name, exchange.request.Prompt, from, tried)
@@ -46,12 +47,13 @@
 			exchange.refuse(exchange.stopped(ctx))
 			return
 		}
-		outcome := exchange.run(ctx, run, handle, stream)
+		outcome := exchange.run(ctx, run, prompt{handle: handle, keeper: reader.Address}, stream)
 		exchange.release(&run)
 		if outcome == answered {
 			return
 		}
-		// The handle is taken or gone; the next engine reads the prompt itself.
+		// The handle is taken or gone; the next engine fetches what the one that
+		// read the prompt still keeps, and reads the rest itself.
 		handle = nil
 		tried = append(tried, run.Target.ID)
 		if !exchange.mayGoOn(ctx, outcome, len(exchange.tries)) {
@@ -85,36 +87,43 @@
 	return exchange.noRoom(code.NoTarget, time.Second)
 }
 
-// read has an engine read the prompt. Without an engine for that, it returns
-// no handle, and the engine that makes the tokens reads the prompt itself.
-func (exchange *exchange) read(ctx context.Context) (*site.Handle, string, error) {
+// prompt tells an engine where to get the memory of a prompt.
+type prompt struct {
+	handle *site.Handle // nil if there is none any more
+	keeper string       // address of the engine that read it, empty if none did
+}
+
+// read has an engine read the prompt, and returns that engine. Without an
+// engine for that, it returns no handle, and the engine that makes the tokens
+// reads the prompt itself.
+func (exchange *exchange) read(ctx context.Context) (*site.Handle, site.Target, error) {
 	proxy := exchange.proxy
 	var tried []string
 	for len(tried) < mostReadings {
 		reading, ok := proxy.book.Choose(exchange.service.Name, exchange.request.Prompt, exchange.urgency(), tried)
 		if !ok {
-			return nil, "", nil
+			return nil, site.Target{}, nil
 		}
 		exchange.aheadMS, exchange.workMS, exchange.lessMS = reading.AheadMS, reading.WorkMS, reading.LessMS
 		exchange.cached, exchange.fetched = reading.Cached, reading.Fetch
 		if err := exchange.fits(&reading); err != nil && len(tried) == 0 {
-			return nil, "", err
+			return nil, site.Target{}, err
 		}
 		proxy.book.Begin(&reading)
 		handle, outcome := exchange.readAt(ctx, &reading)
 		proxy.book.ReadDone(&reading, outcome == answered)
 		if outcome == answered {
-			return handle, reading.Target.DataCenter, nil
+			return handle, reading.Target, nil
 		}
 		tried = append(tried, reading.Target.ID)
 		if err := exchange.ended(ctx, code.NotRun); err != nil {
-			return nil, "", err
+			return nil, site.Target{}, err
 		}
 		if !proxy.budget(exchange.service.Name).Spend(time.Now()) {
-			return nil, "", exchange.noRoom(code.NoTarget, time.Second)
+			return nil, site.Target{}, exchange.noRoom(code.NoTarget, time.Second)
 		}
 	}
-	return nil, "", nil
+	return nil, site.Target{}, nil
 }
 
 // Callers stop to wait for a stream's first event after some time, which is
@@ -189,24 +198,28 @@
 }
 
 // run has one engine make the tokens, and gives the events to the caller.
-func (exchange *exchange) run(ctx context.Context, run place.Run, handle *site.Handle, stream *stream) verdict {
+func (exchange *exchange) run(ctx context.Context, run place.Run, prompt prompt, stream *stream) verdict {
 	proxy := exchange.proxy
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	begun := time.Now()
 	watch := stream.watch(cancel)
 	defer watch.Stop()
-	answer, reply, err := exchange.send(ctx, &site.Call{
+	call := &site.Call{
 		Target: run.Target, Remaining: exchange.remaining(), Team: exchange.team.Name,
-		Urgency: exchange.urgency(), Source: handle, ResumeAfter: stream.last,
-	})
+		Urgency: exchange.urgency(), Source: prompt.handle, ResumeAfter: stream.last,
+	}
+	if prompt.handle == nil {
+		call.FetchFrom = prompt.keeper
+	}
+	answer, reply, err := exchange.send(ctx, call)
 	if err != nil {
-		exchange.free(handle)
+		exchange.free(prompt.handle)
 		return exchange.unstreamed(run.Target, err, begun)
 	}
 	if reply.NotRun {
 		drop(answer)
-		exchange.free(handle)
+		exchange.free(prompt.handle)
 		exchange.note(run.Target, "decode", "not-run", begun)
 		proxy.book.Pause(run.Target.ID, pauseAfter(reply))
 		return notRun
--- a/internal/transport/proxy/stream_test.go
+++ b/internal/transport/proxy/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 
 	"mangopier.example/mangopier/internal/protocol/site"
@@ -63,6 +64,32 @@
 	}
 }
 
+// The engine at which a stream goes on fetches the prompt from the one that
+// read it, as the handle is taken.
+func TestStreamThatGoesOnFetchesItsPrompt(t *testing.T) {
+	world := newWorld(t)
+	world.target("p1", "llm", site.Prefill, prefill)
+	keeper := world.targets[0].Address
+	var fetched []string
+	decode := func(w http.ResponseWriter, r *http.Request) {
+		fetched = append(fetched, r.Header.Get("Kv-Source")+" "+r.Header.Get("Kv-Fetch"))
+		if r.Header.Get("Last-Event-Id") != "" {
+			events(w, r, 4)
+			return
+		}
+		events(w, r, 2)
+		panic(http.ErrAbortHandler)
+	}
+	world.target("d1", "llm", site.Decode, decode)
+	world.target("d2", "llm", site.Decode, decode)
+	if answer := world.do(world.request(http.MethodPost, "/resume/x")); answer.err != nil {
+		t.Fatalf("answer %+v", answer)
+	}
+	if want := []string{keeper + "/h1 ", " " + keeper}; !slices.Equal(fetched, want) {
+		t.Errorf("prompt is fetched from %q, want %q", fetched, want)
+	}
+}
+
 // A stream that may not be resumed breaks off towards the caller too, after
 // its last whole event.
 func TestBrokenStreamIsNotEndedAsWhole(t *testing.T) {
