Tell all instances of all readings

Cause: in sites of more than 12 instances those in other data centres get each 13th share, but each share only told of the readings since the last one. They learned of one reading in 13, and had engines read again what could be fetched.

A share for all now tells of all readings since the last share for all.

Test: TestSharesForAllTellOfAllReadings.

--- a/internal/coordination/place/fetch_test.go
+++ b/internal/coordination/place/fetch_test.go
@@ -1,10 +1,12 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/site"
 )
 
@@ -37,7 +39,7 @@
 		other := newBook(engine("p1", "tas-a", site.Prefill), engine("p2", "tas-a", site.Prefill))
 		first := mustRead(t, book, prompt("dossier", 16_000))
 		except := []string{first.Target.ID}
-		other.Merge("book", book.Export())
+		other.Merge("book", book.Export(true))
 		if early, _ := read(book, "llm", prompt("dossier", 16_000), 0, except); early.Source != "" {
 			t.Errorf("fetches from %q, which reads it", early.Source)
 		}
@@ -101,8 +103,44 @@
 			}
 			time.Sleep(time.Second)
 		}
-		if share := book.Export(); len(share.Reads) != 0 || len(share.Loads) != 0 {
+		if share := book.Export(true); len(share.Reads) != 0 || len(share.Loads) != 0 {
 			t.Errorf("the others are told %+v", share)
 		}
 	})
 }
+
+// Instances in other data centres of a large site get few of the shares, but
+// are told of all readings since the last one.
+func TestSharesForAllTellOfAllReadings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := []site.Target{engine("p1", "tas-a", site.Prefill), engine("p2", "tas-a", site.Prefill)}
+		targets[0].Address, targets[1].Address = "10.0.0.1:1", "10.0.0.2:1"
+		book, near, far := newBook(targets...), newBook(targets...), newBook(targets...)
+		where := map[string]string{}
+		const rounds = 13
+		for i := range rounds {
+			name := fmt.Sprint(i)
+			reading := mustRead(t, book, prompt(name, 16_000))
+			book.ReadDone(&reading, true)
+			where[name] = reading.Target.ID
+			all := i == rounds-1
+			share := book.Export(all)
+			near.Merge("book", share)
+			if all {
+				far.Merge("book", share)
+			}
+		}
+		time.Sleep(time.Second)
+		for name, target := range where {
+			for who, other := range map[string]*place.Book{"near": near, "far": far} {
+				choice, ok := other.Choose("llm", prompt(name, 16_000), 0, []string{target})
+				if !ok || choice.Fetch < 12_000 {
+					t.Errorf("%s: prompt %s is read again: %+v", who, name, choice)
+				}
+			}
+		}
+		if again := book.Export(true); len(again.Reads) != 0 {
+			t.Errorf("%d readings are told twice", len(again.Reads))
+		}
+	})
+}
--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -25,7 +25,8 @@
 	targets  map[string]*state
 	services map[string][]*state
 	peers    map[string]*peer
-	reads    []Read // of this instance since the last Export
+	reads    []Read // of this instance since the last share for all
+	told     int    // how many of these were in a share since
 	random   *rand.Rand
 	crowded  bool // there are so many instances that loads are known late
 }
--- a/internal/coordination/place/place_test.go
+++ b/internal/coordination/place/place_test.go
@@ -117,7 +117,7 @@
 	targets := []site.Target{engine("d1", "tas-a", site.Decode), engine("d2", "tas-a", site.Decode)}
 	other, book := newBook(targets...), newBook(targets...)
 	run, _ := other.Generate("llm", prompt("x", 100_000), "tas-a", nil)
-	book.Merge("other", other.Export())
+	book.Merge("other", other.Export(true))
 	for range 3 {
 		own, _ := book.Generate("llm", prompt("y", 1_000), "tas-a", nil)
 		if own.Target.ID == run.Target.ID {
@@ -129,7 +129,7 @@
 		t.Errorf("summary %+v", summary)
 	}
 	other.Ended(&run)
-	book.Merge("other", other.Export())
+	book.Merge("other", other.Export(true))
 	if summary := book.Summarize("llm"); summary.Runs != 0 || summary.Tokens != 0 {
 		t.Errorf("after the run ended: %+v", summary)
 	}
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -102,7 +102,7 @@
 	state.own.WorkMS[reading.tier] += reading.WorkMS
 	expected := time.Duration(reading.ExpectedMS() * float64(time.Millisecond))
 	state.cache.use(reading.parts, reading.begun.Add(expected))
-	book.reads = append(book.reads, Read{Target: state.ID, Parts: reading.parts, TakesMS: float32(reading.ExpectedMS())})
+	book.tell(Read{Target: state.ID, Parts: reading.parts, TakesMS: float32(reading.ExpectedMS())})
 }
 
 // crowdCost is what an engine costs more in a large site, where loads are known
--- a/internal/coordination/place/share.go
+++ b/internal/coordination/place/share.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"mangopier.example/mangopier/internal/protocol/site"
@@ -9,7 +10,7 @@
 // Share is what an instance tells the others of its work in flight.
 type Share struct {
 	Loads []TargetLoad `cbor:"1,keyasint,omitempty"`
-	Reads []Read       `cbor:"2,keyasint,omitempty"` // since the last share
+	Reads []Read       `cbor:"2,keyasint,omitempty"` // since the last share that went to the same instances
 }
 
 // TargetLoad is the work of one instance at a target.
@@ -38,11 +39,13 @@
 // gone quiet are forgotten before.
 const shareAge = 20 * time.Second
 
-// mostReads bounds the reads of one share.
-const mostReads = 64
+// mostReads bounds the reads of one share: those of ten seconds at ten requests
+// a second.
+const mostReads = 100
 
-// Export returns the share of this instance.
-func (book *Book) Export() Share {
+// Export returns the share of this instance, for all others or for those that
+// get each share.
+func (book *Book) Export(all bool) Share {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
 	var share Share
@@ -56,11 +59,34 @@
 		}
 		share.Loads = append(share.Loads, load)
 	}
-	share.Reads = book.reads[max(0, len(book.reads)-mostReads):]
-	book.reads = nil
+	share.Reads = book.newReads(all)
 	return share
 }
 
+// tell keeps a reading for the next shares.
+func (book *Book) tell(read Read) {
+	if len(book.reads) == 2*mostReads { // none went to all for long
+		book.reads = slices.Delete(book.reads, 0, mostReads)
+		book.told = max(0, book.told-mostReads)
+	}
+	book.reads = append(book.reads, read)
+}
+
+// newReads returns the readings that those who get the share have not been
+// told of.
+func (book *Book) newReads(all bool) []Read {
+	told := book.told
+	if all {
+		told = 0
+	}
+	reads := slices.Clone(book.reads[max(told, len(book.reads)-mostReads):])
+	book.told = len(book.reads)
+	if all {
+		book.reads, book.told = nil, 0
+	}
+	return reads
+}
+
 // Merge takes the share of another instance in the place of its last one.
 func (book *Book) Merge(instance string, share Share) {
 	book.mutex.Lock()
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -53,7 +53,7 @@
 type Mesh struct {
 	self    string
 	home    string // data centre
-	compose func() []byte
+	compose func(all bool) []byte
 	receive func(datagram []byte, from netip.AddrPort)
 	logger  zerolog.Logger
 	conn    *net.UDPConn
@@ -74,7 +74,7 @@
 
 // Callbacks are what a mesh calls, each on one goroutine at a time.
 type Callbacks struct {
-	Compose func() []byte                              // returns the datagram to send
+	Compose func(all bool) []byte                      // returns the datagram to send, to all or to the own data centre only
 	Receive func(datagram []byte, from netip.AddrPort) // takes one that came
 	Left    func(instance string)                      // an instance has gone quiet
 }
@@ -199,8 +199,8 @@
 
 func (mesh *Mesh) send(ctx context.Context) {
 	for ctx.Err() == nil {
-		recipients, wait := mesh.recipients(time.Now())
-		datagram := mesh.compose()
+		recipients, all, wait := mesh.recipients(time.Now())
+		datagram := mesh.compose(all)
 		if len(datagram) > maxDatagram {
 			mesh.logger.Error().Int("bytes", len(datagram)).Msg("heartbeat is too large")
 			recipients = nil
@@ -217,15 +217,15 @@
 	}
 }
 
-// recipients returns whom to send this heartbeat, and ages the members.
-func (mesh *Mesh) recipients(now time.Time) ([]netip.AddrPort, time.Duration) {
+// recipients returns whom to send this heartbeat and whether these are all, and
+// ages the members.
+func (mesh *Mesh) recipients(now time.Time) (recipients []netip.AddrPort, all bool, wait time.Duration) {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	mesh.round++
 	near, far := mesh.periods()
-	all := mesh.urgent || far == near || mesh.round%farRatio == 0
+	all = mesh.urgent || far == near || mesh.round%farRatio == 0
 	mesh.urgent = false
-	var recipients []netip.AddrPort
 	for _, member := range mesh.members {
 		interval := far
 		if member.DataCenter == mesh.home {
@@ -240,7 +240,7 @@
 			recipients = append(recipients, member.Address)
 		}
 	}
-	return recipients, near
+	return recipients, all, near
 }
 
 // age marks a member as quiet of which nothing was heard for too long.
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -26,7 +26,7 @@
 func start(t *testing.T, home string, receive func([]byte, netip.AddrPort)) *mesh.Mesh {
 	t.Helper()
 	callbacks := mesh.Callbacks{
-		Compose: func() []byte { return []byte("heartbeat") },
+		Compose: func(bool) []byte { return []byte("heartbeat") },
 		Receive: receive,
 		Left:    func(string) {},
 	}
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -30,10 +30,10 @@
 }
 
 // compose returns the next heartbeat.
-func (node *Node) compose() []byte {
+func (node *Node) compose(all bool) []byte {
 	beat := heartbeat{
 		Instance: node.settings.Instance, Boot: node.boot, Place: node.settings.DataCenter,
-		Share: node.book.Export(), Usage: node.meter.Export(),
+		Share: node.book.Export(all), Usage: node.meter.Export(),
 	}
 	changing := node.keeper.Changing()
 	if len(changing) > 0 {
