Calls that reach no target are not counted as extra ones

Ruled out: no engine to choose (the book had some in each case), slow engines (the tries ended after 1 to 5 ms). A connection that was refused is no arrival at a target.

Such a try has a verdict of its own now: it costs nothing from the budget, is no reading, and leaves a prompt that was read to the next engine. Four tries remain the most.

Test: TestCallsThatReachNoTargetAreNotCounted, failing before.

--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -27,6 +27,7 @@
 
 const (
 	answered verdict = iota // the caller has the answer
+	unsent                  // never reached the target; another call is no extra one
 	notRun                  // may be sent elsewhere
 	mayHaveRun
 	failed // the target ran it and failed
@@ -34,8 +35,7 @@
 
 // call sends a request to a plain service.
 func (exchange *exchange) call(ctx context.Context) {
-	budget := exchange.proxy.budget(exchange.service.Name)
-	budget.Fresh()
+	exchange.proxy.budget(exchange.service.Name).Fresh()
 	var tried []string
 	var kept *kept
 	for {
@@ -65,7 +65,7 @@
 			kept = answer
 		}
 		tried = append(tried, run.Target.ID)
-		if !exchange.mayRepeat(ctx, outcome, len(tried)) || !budget.Spend(time.Now()) {
+		if !exchange.mayRepeat(ctx, outcome, len(tried)) || !exchange.afford(outcome) {
 			exchange.conclude(ctx, kept)
 			return
 		}
@@ -86,12 +86,18 @@
 	if ctx.Err() != nil || tries >= mostTries {
 		return false
 	}
-	if outcome == notRun {
+	if outcome == notRun || outcome == unsent {
 		return true
 	}
 	return exchange.route.Kind == site.Safe && exchange.runs < exchange.route.Attempts
 }
 
+// afford reports whether the budget allows one more call after a try, and takes
+// that call from it.
+func (exchange *exchange) afford(outcome verdict) bool {
+	return outcome == unsent || exchange.proxy.budget(exchange.service.Name).Spend(time.Now())
+}
+
 // conclude ends a request that is not tried again.
 func (exchange *exchange) conclude(ctx context.Context, kept *kept) {
 	if kept != nil {
@@ -163,7 +169,7 @@
 func (exchange *exchange) unanswered(ctx context.Context, target site.Target, err error, begun time.Time) verdict {
 	if !exchange.lost(target, err) {
 		exchange.note(target, "call", "unreachable", begun)
-		return notRun
+		return unsent
 	}
 	exchange.runs++
 	exchange.count()
--- a/internal/transport/proxy/call_test.go
+++ b/internal/transport/proxy/call_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"mangopier.example/mangopier/internal/protocol/site"
+	"mangopier.example/mangopier/internal/transport/proxy"
 )
 
 // counted wraps a handler and counts the calls that it gets.
@@ -131,6 +134,35 @@
 	}
 }
 
+// Pattern: many targets crash at once. A call that never reached a target is
+// no extra one, so requests are served while others run, whatever is left of
+// the budget.
+func TestCallsThatReachNoTargetAreNotCounted(t *testing.T) {
+	world := newWorld(t, proxy.WithBounds(site.Bounds{RetryWindow: 10 * time.Second}))
+	for i := range 3 {
+		number := strconv.Itoa(i)
+		world.target("p"+number, "llm", site.Prefill, prefill).Close()
+		world.target("d"+number, "llm", site.Decode, answerWith("ok")).Close()
+		world.target("s"+number, "desk", site.NoStage, answerWith("ok")).Close()
+	}
+	world.target("p9", "llm", site.Prefill, prefill)
+	var source string
+	world.target("d9", "llm", site.Decode, func(w http.ResponseWriter, r *http.Request) {
+		source = r.Header.Get("Kv-Source")
+		events(w, r, 3)
+	})
+	world.target("s9", "desk", site.NoStage, answerWith("ok"))
+	for _, path := range []string{"/ask/x", "/book/x", "/read/x", "/ask/x"} {
+		source = ""
+		if answer := world.do(world.request(http.MethodPost, path)); answer.status != http.StatusOK {
+			t.Errorf("%s: answer %d", path, answer.status)
+		}
+		if strings.HasPrefix(path, "/ask/") && !strings.HasSuffix(source, "/h1") {
+			t.Errorf("the prompt that was read is fetched from %q", source)
+		}
+	}
+}
+
 // A read that fails is tried elsewhere; the second failure is the caller's, as
 // the target gave it.
 func TestReadIsRepeatedOnce(t *testing.T) {
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -17,7 +17,7 @@
 	// a prompt before another is asked.
 	lateFactor = 3.0
 	lateSlack  = 300 * time.Millisecond
-	// mostReadings bounds the engines asked to read one prompt.
+	// mostReadings bounds the engines that one prompt was sent to for reading.
 	mostReadings = 2
 	// switchPause keeps work from an engine that is changing its stage.
 	switchPause = 500 * time.Millisecond
@@ -34,29 +34,33 @@
 		exchange.refuse(err)
 		return
 	}
-	from := reader.DataCenter
+	source := prompt{handle: handle, keeper: reader.Address}
 	var tried []string
-	for {
+	for tries := 1; ; tries++ {
+		from := reader.DataCenter
 		run, ok := exchange.proxy.book.Generate(exchange.service.Name, exchange.request.Prompt, from, tried)
 		if !ok && len(tried) > 0 {
 			tried = nil
 			run, ok = exchange.proxy.book.Generate(exchange.service.Name, exchange.request.Prompt, from, nil)
 		}
 		if !ok {
-			exchange.free(handle)
+			exchange.free(source.handle)
 			exchange.refuse(exchange.stopped(ctx))
 			return
 		}
-		outcome := exchange.run(ctx, run, prompt{handle: handle, keeper: reader.Address}, stream)
+		outcome := exchange.run(ctx, run, source, stream)
 		exchange.release(&run)
 		if outcome == answered {
 			return
 		}
 		// The handle is taken or gone; the next engine fetches what the one that
 		// read the prompt still keeps, and reads the rest itself.
-		handle = nil
+		if outcome != unsent {
+			source.handle = nil
+		}
 		tried = append(tried, run.Target.ID)
-		if !exchange.mayGoOn(ctx, outcome, len(exchange.tries)) {
+		if !exchange.mayGoOn(ctx, outcome, tries) {
+			exchange.free(source.handle)
 			exchange.refuse(exchange.stopped(ctx))
 			return
 		}
@@ -65,11 +69,11 @@
 
 // mayGoOn reports whether a generation may be sent to one more engine.
 func (exchange *exchange) mayGoOn(ctx context.Context, outcome verdict, tries int) bool {
-	if ctx.Err() != nil || tries > mostTries || exchange.remaining() < leastRemaining {
+	if ctx.Err() != nil || tries >= mostTries || exchange.remaining() < leastRemaining {
 		return false
 	}
-	repeatable := outcome == notRun || (exchange.route.Resumable && exchange.runs < exchange.route.Attempts)
-	return repeatable && exchange.proxy.budget(exchange.service.Name).Spend(time.Now())
+	repeatable := outcome == unsent || outcome == notRun || (exchange.route.Resumable && exchange.runs < exchange.route.Attempts)
+	return repeatable && exchange.afford(outcome)
 }
 
 // stopped returns the error of a generation that is not tried again.
@@ -99,7 +103,7 @@
 func (exchange *exchange) read(ctx context.Context) (*site.Handle, site.Target, error) {
 	proxy := exchange.proxy
 	var tried []string
-	for len(tried) < mostReadings {
+	for sent := 0; sent < mostReadings && len(tried) < mostTries; {
 		reading, ok := proxy.book.Choose(exchange.service.Name, exchange.request.Prompt, exchange.urgency(), tried)
 		if !ok {
 			return nil, site.Target{}, nil
@@ -119,7 +123,10 @@
 		if err := exchange.ended(ctx, code.NotRun); err != nil {
 			return nil, site.Target{}, err
 		}
-		if !proxy.budget(exchange.service.Name).Spend(time.Now()) {
+		if outcome != unsent {
+			sent++
+		}
+		if !exchange.afford(outcome) {
 			return nil, site.Target{}, exchange.noRoom(code.NoTarget, time.Second)
 		}
 	}
@@ -159,9 +166,12 @@
 		Urgency: exchange.urgency(), PrefillOnly: true, FetchFrom: reading.Source,
 	})
 	if err != nil {
-		exchange.lost(target, err)
-		exchange.note(target, "prefill", "no-answer", begun)
 		proxy.observe(health.Event{Target: target.ID, Outcome: health.Failure})
+		if !exchange.lost(target, err) {
+			exchange.note(target, "prefill", "unreachable", begun)
+			return nil, unsent
+		}
+		exchange.note(target, "prefill", "no-answer", begun)
 		return nil, notRun
 	}
 	body, err := readAll(answer)
@@ -214,8 +224,11 @@
 	}
 	answer, reply, err := exchange.send(ctx, call)
 	if err != nil {
-		exchange.free(prompt.handle)
-		return exchange.unstreamed(run.Target, err, begun)
+		outcome := exchange.unstreamed(run.Target, err, begun)
+		if outcome != unsent {
+			exchange.free(prompt.handle)
+		}
+		return outcome
 	}
 	if reply.NotRun {
 		drop(answer)
@@ -266,7 +279,7 @@
 func (exchange *exchange) unstreamed(target site.Target, err error, begun time.Time) verdict {
 	if !exchange.lost(target, err) {
 		exchange.note(target, "decode", "unreachable", begun)
-		return notRun
+		return unsent
 	}
 	exchange.runs++
 	exchange.note(target, "decode", "no-answer", begun)
--- a/internal/transport/proxy/world_test.go
+++ b/internal/transport/proxy/world_test.go
@@ -70,14 +70,16 @@
 	testKey  = "key-of-press"
 )
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T, opts ...proxy.Option) *world {
 	t.Helper()
 	world := &world{t: t, log: &logBuffer{}, counts: map[string]int{}, book: place.New(place.WithDataCenter("tas-a"))}
 	wire := platform.Wire{}
 	client := back.New(back.WithHeaders(wire.AttemptHeader(), wire.NotRunHeader()))
-	world.proxy = proxy.New(wire, client, world.book, health.New(), world,
+	opts = append([]proxy.Option{
 		proxy.WithLogger(zerolog.New(world.log)),
-		proxy.WithBounds(site.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 600, MostRetryAfter: 10 * time.Second}))
+		proxy.WithBounds(site.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 600, MostRetryAfter: 10 * time.Second}),
+	}, opts...)
+	world.proxy = proxy.New(wire, client, world.book, health.New(), world, opts...)
 	world.front = httptest.NewServer(world.proxy)
 	t.Cleanup(func() {
 		world.front.Close()
