Budget of extra calls in a sliding window

retry.Allowance counts requests and extra calls of the last window and allows a share of the former and the instance's part of the slack at each call. As requests are counted exactly, 0.8 instead of 0.6 of what the site allows is used.

Tests: allowance_test.go; TestBudgetIsNotFilledByChangesAmongInstances gives other numbers of instances by WithMembers, as there is nothing left to reset; its bound is the same.

--- a/internal/coordination/retry/allowance_test.go
+++ b/internal/coordination/retry/allowance_test.go
@@ -69,19 +69,24 @@
 				time.Sleep(time.Second)
 			}
 		})
-		for end := range seconds {
-			fresh, extra := 0, 0
+		sum := func(end int) (fresh, extra int) {
 			for _, second := range seconds[max(0, end-9) : end+1] {
 				fresh += second.fresh
 				extra += second.extra
 			}
-			// What was spent early in a window may count requests from before it.
-			before := 0
-			for _, second := range seconds[max(0, end-18):max(0, end-9)] {
-				before += second.fresh
+			return fresh, extra
+		}
+		for end := range seconds {
+			_, extra := sum(end)
+			// The last call of a window may count requests from before it: those
+			// of the window that ends with this call.
+			most := 0
+			for last := max(0, end-9); last <= end; last++ {
+				fresh, _ := sum(last)
+				most = max(most, fresh)
 			}
-			if most := share*float64(fresh+before) + 5; float64(extra) > most {
-				rt.Fatalf("%d extra calls in the 10 s to %d, %.1f allowed", extra, end, most)
+			if float64(extra) > share*float64(most)+5 {
+				rt.Fatalf("%d extra calls in the 10 s to %d, %.1f allowed", extra, end, share*float64(most)+5)
 			}
 		}
 	})
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -98,7 +98,6 @@
 func (node *Node) countMembers() {
 	live := int64(len(node.mesh.Live()))
 	if before := node.members.Swap(live); before != live {
-		node.proxy.ResetBudgets()
 		node.book.SetMembers(int(live))
 	}
 }
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -95,7 +95,7 @@
 // afford reports whether the budget allows one more call after a try, and takes
 // that call from it.
 func (exchange *exchange) afford(outcome verdict) bool {
-	return outcome == unsent || exchange.proxy.budget(exchange.service.Name).Spend(time.Now())
+	return outcome == unsent || exchange.proxy.budget(exchange.service.Name).Spend(exchange.proxy.slack())
 }
 
 // conclude ends a request that is not tried again.
--- a/internal/transport/proxy/call_test.go
+++ b/internal/transport/proxy/call_test.go
@@ -311,7 +311,8 @@
 // Pattern: on a large site instances come and go all the time. Dividing the
 // budget of extra calls anew must not fill it.
 func TestBudgetIsNotFilledByChangesAmongInstances(t *testing.T) {
-	world := newWorld(t)
+	var members atomic.Int64
+	world := newWorld(t, proxy.WithMembers(func() int { return int(members.Load()) }))
 	var calls atomic.Int64
 	for _, id := range []string{"s1", "s2", "s3", "s4"} {
 		world.target(id, "desk", site.NoStage, counted(&calls, full))
@@ -319,7 +320,7 @@
 	const requests = 50
 	for range requests {
 		world.do(world.request(http.MethodPost, "/book/x"))
-		world.proxy.ResetBudgets()
+		members.Store(1 + (members.Load()+5)%9)
 	}
 	// A fifth of the requests and the slack of 600 are allowed in all; this
 	// instance is taken to be one of six at least.
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -84,7 +84,7 @@
 
 	manifest atomic.Pointer[site.Manifest]
 	draining atomic.Bool
-	budgets  sync.Map // service to *retry.Budget
+	budgets  sync.Map // service to *retry.Allowance
 	cleanups sync.WaitGroup
 	cleaning chan struct{} // bounds the clean-ups under way
 }
@@ -147,42 +147,27 @@
 }
 
 // budgetShare is the part of the site's allowance of extra calls that is used:
-// instances see unequal parts of the traffic, and learn of changes among them
-// late.
-const budgetShare = 0.6
+// instances learn of changes among them late.
+const budgetShare = 0.8
 
 // leastMembers is how many instances there are taken to be at least: one that
 // has just started does not know the others yet. The smallest site has six.
 const leastMembers = 6
 
 // budget returns the allowance of extra calls to a service.
-func (proxy *Proxy) budget(service string) *retry.Budget {
+func (proxy *Proxy) budget(service string) *retry.Allowance {
 	if budget, ok := proxy.budgets.Load(service); ok {
-		return budget.(*retry.Budget) //nolint:forcetypeassert // the map holds budgets only
+		return budget.(*retry.Allowance) //nolint:forcetypeassert // the map holds allowances only
 	}
-	budget, _ := proxy.budgets.LoadOrStore(service, proxy.newBudget())
-	return budget.(*retry.Budget) //nolint:forcetypeassert // the map holds budgets only
+	fresh := retry.NewAllowance(budgetShare*proxy.bounds.RetryRatio, proxy.bounds.RetryWindow)
+	budget, _ := proxy.budgets.LoadOrStore(service, fresh)
+	return budget.(*retry.Allowance) //nolint:forcetypeassert // the map holds allowances only
 }
 
-// newBudget returns a full budget of one instance's part.
-func (proxy *Proxy) newBudget() *retry.Budget {
-	members := float64(max(leastMembers, proxy.members()))
-	slack := budgetShare * proxy.bounds.RetrySlack / members
-	window := max(1, proxy.bounds.RetryWindow.Seconds())
-	return retry.NewBudget(budgetShare*proxy.bounds.RetryRatio, slack/2/window, max(1, slack/2))
-}
-
-// ResetBudgets divides the allowance anew, after the number of instances has
-// changed. What was left is kept and not filled up.
-func (proxy *Proxy) ResetBudgets() {
-	proxy.budgets.Range(func(service, old any) bool {
-		left := old.(*retry.Budget).Left() //nolint:forcetypeassert // the map holds budgets only
-		budget := proxy.newBudget()
-		for budget.Left() > left && budget.Spend(time.Now()) {
-		}
-		proxy.budgets.Store(service, budget)
-		return true
-	})
+// slack returns this instance's part of the extra calls that are allowed beside
+// the share of requests.
+func (proxy *Proxy) slack() float64 {
+	return budgetShare * proxy.bounds.RetrySlack / float64(max(leastMembers, proxy.members()))
 }
 
 // observe tells the health of targets how a request at one ended.
