Loads that others told count until the work must be done

Cause, found while the choices on grown sites were looked at: instances of other data centres tell their load each 2.8 s, and what they told counted until the next share, though prompts are read within a second. Engines that had a large prompt at that moment looked busy for seconds, and the rest got too much.

Work drains by a millisecond each millisecond after the first 250, and runs count for 3 s.

Test: TestLoadOfOthersIsDoneAfterAWhile.

--- a/internal/coordination/place/place_test.go
+++ b/internal/coordination/place/place_test.go
@@ -211,3 +211,38 @@
 		}
 	})
 }
+
+// Pattern: instances of other data centres tell their load each few seconds,
+// and prompts are read within one. What they told is done by then.
+func TestLoadOfOthersIsDoneAfterAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := []site.Target{engine("p1", "tas-a", site.Prefill), engine("d1", "tas-a", site.Decode)}
+		other, book := newBook(targets...), newBook(targets...)
+		reading := mustRead(t, other, prompt("x", 16_000))
+		_, _ = other.Generate("llm", prompt("x", 16_000), "tas-a", nil)
+		book.Merge("other", other.Export(true))
+		ahead := func() float64 {
+			book.Export(true) // as with each heartbeat
+			choice, _ := book.Choose("llm", prompt("y", 1_000), 3, nil)
+			return choice.AheadMS
+		}
+		if got := ahead(); got < reading.WorkMS-1 {
+			t.Errorf("%.0f of %.0f ms are ahead at once", got, reading.WorkMS)
+		}
+		time.Sleep(250*time.Millisecond + time.Duration(reading.WorkMS/2*float64(time.Millisecond)))
+		if got := ahead(); got < 0.4*reading.WorkMS || got > 0.6*reading.WorkMS {
+			t.Errorf("%.0f of %.0f ms are ahead after half of it", got, reading.WorkMS)
+		}
+		time.Sleep(5 * time.Second)
+		if got := ahead(); got > 0 {
+			t.Errorf("%.0f ms are ahead after 5 s", got)
+		}
+		if summary := book.Summarize("llm"); summary.Runs != 0 || summary.Tokens != 0 {
+			t.Errorf("after 5 s %+v", summary)
+		}
+		book.Merge("other", other.Export(true))
+		if summary := book.Summarize("llm"); summary.Runs != 1 {
+			t.Errorf("told again, %+v", summary)
+		}
+	})
+}
--- a/internal/coordination/place/share.go
+++ b/internal/coordination/place/share.go
@@ -31,8 +31,34 @@
 
 // peer is the newest share of another instance.
 type peer struct {
-	share Share
-	heard time.Time
+	share   Share
+	counted []TargetLoad // what of it counts
+	heard   time.Time
+}
+
+const (
+	// loadFresh is how long the work that a share tells counts in full: the
+	// time between two shares of near instances.
+	loadFresh = 250 * time.Millisecond
+	// runsFresh is how long runs count, about as long as one takes.
+	runsFresh = 3 * time.Second
+)
+
+// drain leaves of a share's loads what cannot be done yet: an engine works on
+// while no newer share comes.
+func (peer *peer) drain(now time.Time) {
+	age := now.Sub(peer.heard)
+	done := float32(max(0, age-loadFresh)) / float32(time.Millisecond)
+	peer.counted = peer.counted[:0]
+	for _, load := range peer.share.Loads {
+		for tier := range load.WorkMS {
+			load.WorkMS[tier] = max(0, load.WorkMS[tier]-done)
+		}
+		if age > runsFresh {
+			load.Runs, load.Tokens = 0, 0
+		}
+		peer.counted = append(peer.counted, load)
+	}
 }
 
 // shareAge is how long a share counts at most. Shares of instances that have
@@ -48,6 +74,7 @@
 func (book *Book) Export(all bool) Share {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
+	book.sumPeers(time.Now())
 	var share Share
 	for id, state := range book.targets {
 		if state.own == (Load{}) {
@@ -100,10 +127,12 @@
 	}
 	share.Reads = nil
 	if before, ok := book.peers[instance]; ok {
-		book.addPeer(&before.share, -1)
+		book.addPeer(before.counted, -1)
 	}
-	book.peers[instance] = &peer{share: share, heard: now}
-	book.addPeer(&share, 1)
+	added := &peer{share: share, heard: now}
+	added.drain(now)
+	book.peers[instance] = added
+	book.addPeer(added.counted, 1)
 }
 
 // Forget drops the share of an instance that has gone quiet.
@@ -114,7 +143,7 @@
 	book.sumPeers(time.Now())
 }
 
-// sumPeers adds up what the others have in flight.
+// sumPeers adds up what the others have in flight by now.
 func (book *Book) sumPeers(now time.Time) {
 	for _, state := range book.targets {
 		state.others = Load{}
@@ -124,14 +153,15 @@
 			delete(book.peers, instance)
 			continue
 		}
-		book.addPeer(&peer.share, 1)
+		peer.drain(now)
+		book.addPeer(peer.counted, 1)
 	}
 }
 
-// addPeer adds or, with the sign -1, takes away what a share tells.
-func (book *Book) addPeer(share *Share, sign float64) {
-	for i := range share.Loads {
-		book.addPeerLoad(&share.Loads[i], sign)
+// addPeer adds or, with the sign -1, takes away the loads of a peer.
+func (book *Book) addPeer(loads []TargetLoad, sign float64) {
+	for i := range loads {
+		book.addPeerLoad(&loads[i], sign)
 	}
 }
 
