Far heartbeats take turns and tell of readings shorter

Cause: in sites of more than 12 instances all others got a heartbeat in the same round, 72 datagrams of some kilobytes at once.

Those in other data centres take turns now, a thirteenth in each round. A share tells of the readings of the rounds that it covers, without the prompt's own last part, and not of those whose shared parts the engine kept before.

Tests: TestFarInstancesTakeTurns, TestSharesForFewTellOfAllReadings.

--- a/internal/coordination/place/fetch_test.go
+++ b/internal/coordination/place/fetch_test.go
@@ -39,7 +39,7 @@
 		other := newBook(engine("p1", "tas-a", site.Prefill), engine("p2", "tas-a", site.Prefill))
 		first := mustRead(t, book, prompt("dossier", 16_000))
 		except := []string{first.Target.ID}
-		other.Merge("book", book.Export(true))
+		other.Merge("book", book.Export(1))
 		if early, _ := read(book, "llm", prompt("dossier", 16_000), 0, except); early.Source != "" {
 			t.Errorf("fetches from %q, which reads it", early.Source)
 		}
@@ -103,7 +103,7 @@
 			}
 			time.Sleep(time.Second)
 		}
-		if share := book.Export(true); len(share.Reads) != 0 || len(share.Loads) != 0 {
+		if share := book.Export(1); len(share.Reads) != 0 || len(share.Loads) != 0 {
 			t.Errorf("the others are told %+v", share)
 		}
 	})
@@ -111,7 +111,7 @@
 
 // Instances in other data centres of a large site get few of the shares, but
 // are told of all readings since the last one.
-func TestSharesForAllTellOfAllReadings(t *testing.T) {
+func TestSharesForFewTellOfAllReadings(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		targets := []site.Target{engine("p1", "tas-a", site.Prefill), engine("p2", "tas-a", site.Prefill)}
 		targets[0].Address, targets[1].Address = "10.0.0.1:1", "10.0.0.2:1"
@@ -123,12 +123,11 @@
 			reading := mustRead(t, book, prompt(name, 16_000))
 			book.ReadDone(&reading, true)
 			where[name] = reading.Target.ID
-			all := i == rounds-1
-			share := book.Export(all)
-			near.Merge("book", share)
-			if all {
-				far.Merge("book", share)
+			near.Merge("book", book.Export(1))
+			if i == rounds-1 {
+				far.Merge("book", book.Export(rounds))
 			}
+			book.EndRound()
 		}
 		time.Sleep(time.Second)
 		for name, target := range where {
@@ -139,8 +138,14 @@
 				}
 			}
 		}
-		if again := book.Export(true); len(again.Reads) != 0 {
+		if again := book.Export(1); len(again.Reads) != 0 {
 			t.Errorf("%d readings are told twice", len(again.Reads))
 		}
+		for range 40 {
+			book.EndRound()
+		}
+		if again := book.Export(40); len(again.Reads) != 0 {
+			t.Errorf("%d readings are kept for ever", len(again.Reads))
+		}
 	})
 }
--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -25,8 +25,8 @@
 	targets  map[string]*state
 	services map[string][]*state
 	peers    map[string]*peer
-	reads    []Read // of this instance since the last share for all
-	told     int    // how many of these were in a share since
+	reads    []roundRead // of this instance in the last rounds
+	round    int         // of shares
 	random   *rand.Rand
 	crowded  bool // there are so many instances that loads are known late
 }
--- a/internal/coordination/place/place_test.go
+++ b/internal/coordination/place/place_test.go
@@ -117,7 +117,7 @@
 	targets := []site.Target{engine("d1", "tas-a", site.Decode), engine("d2", "tas-a", site.Decode)}
 	other, book := newBook(targets...), newBook(targets...)
 	run, _ := other.Generate("llm", prompt("x", 100_000), "tas-a", nil)
-	book.Merge("other", other.Export(true))
+	book.Merge("other", other.Export(1))
 	for range 3 {
 		own, _ := book.Generate("llm", prompt("y", 1_000), "tas-a", nil)
 		if own.Target.ID == run.Target.ID {
@@ -129,7 +129,7 @@
 		t.Errorf("summary %+v", summary)
 	}
 	other.Ended(&run)
-	book.Merge("other", other.Export(true))
+	book.Merge("other", other.Export(1))
 	if summary := book.Summarize("llm"); summary.Runs != 0 || summary.Tokens != 0 {
 		t.Errorf("after the run ended: %+v", summary)
 	}
@@ -220,9 +220,9 @@
 		other, book := newBook(targets...), newBook(targets...)
 		reading := mustRead(t, other, prompt("x", 16_000))
 		_, _ = other.Generate("llm", prompt("x", 16_000), "tas-a", nil)
-		book.Merge("other", other.Export(true))
+		book.Merge("other", other.Export(1))
 		ahead := func() float64 {
-			book.Export(true) // as with each heartbeat
+			book.Export(1) // as with each heartbeat
 			choice, _ := book.Choose("llm", prompt("y", 1_000), 3, nil)
 			return choice.AheadMS
 		}
@@ -240,7 +240,7 @@
 		if summary := book.Summarize("llm"); summary.Runs != 0 || summary.Tokens != 0 {
 			t.Errorf("after 5 s %+v", summary)
 		}
-		book.Merge("other", other.Export(true))
+		book.Merge("other", other.Export(1))
 		if summary := book.Summarize("llm"); summary.Runs != 1 {
 			t.Errorf("told again, %+v", summary)
 		}
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -39,9 +39,10 @@
 	Source string  // address of the engine from which it fetches more, empty for none
 	Fetch  int     // tokens that it fetches
 
-	parts []namedPart
-	tier  int
-	begun time.Time
+	parts  []namedPart
+	shared int // tokens of all parts but the last
+	tier   int
+	begun  time.Time
 }
 
 // ExpectedMS returns the expected time until the prompt is read.
@@ -86,7 +87,7 @@
 	if best == nil {
 		return Reading{}, false
 	}
-	choice.parts, choice.tier = parts, tier
+	choice.parts, choice.shared, choice.tier = parts, prompt.Shared(), tier
 	return choice, true
 }
 
@@ -102,6 +103,9 @@
 	state.own.WorkMS[reading.tier] += reading.WorkMS
 	expected := time.Duration(reading.ExpectedMS() * float64(time.Millisecond))
 	state.cache.use(reading.parts, reading.begun.Add(expected))
+	if reading.Cached >= reading.shared && reading.shared > 0 {
+		return // the others know, or were told by who had it read there
+	}
 	book.tell(Read{Target: state.ID, Parts: reading.parts, TakesMS: float32(reading.ExpectedMS())})
 }
 
--- a/internal/coordination/place/share.go
+++ b/internal/coordination/place/share.go
@@ -69,9 +69,9 @@
 // a second.
 const mostReads = 100
 
-// Export returns the share of this instance, for all others or for those that
-// get each share.
-func (book *Book) Export(all bool) Share {
+// Export returns the share of this instance, with the readings of the last
+// rounds: one for those who get the share of each round.
+func (book *Book) Export(rounds int) Share {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
 	book.sumPeers(time.Now())
@@ -86,32 +86,49 @@
 		}
 		share.Loads = append(share.Loads, load)
 	}
-	share.Reads = book.newReads(all)
+	share.Reads = book.newReads(rounds)
 	return share
 }
 
-// tell keeps a reading for the next shares.
+// EndRound begins a new round of shares.
+func (book *Book) EndRound() {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	book.round++
+	book.reads = slices.DeleteFunc(book.reads, func(read roundRead) bool { return read.round <= book.round-keptRounds })
+}
+
+// keptRounds is how many rounds a share may cover at most.
+const keptRounds = 32
+
+// roundRead is a reading and the round in which it began.
+type roundRead struct {
+	Read
+
+	round int
+}
+
+// tell keeps a reading for the next shares. The last part of a prompt is its
+// own and left out.
 func (book *Book) tell(read Read) {
-	if len(book.reads) == 2*mostReads { // none went to all for long
-		book.reads = slices.Delete(book.reads, 0, mostReads)
-		book.told = max(0, book.told-mostReads)
+	if len(read.Parts) > 1 {
+		read.Parts = read.Parts[:len(read.Parts)-1]
+	}
+	if len(book.reads) == keptRounds*mostReads {
+		book.reads = slices.Delete(book.reads, 0, 1)
 	}
-	book.reads = append(book.reads, read)
+	book.reads = append(book.reads, roundRead{read, book.round})
 }
 
-// newReads returns the readings that those who get the share have not been
-// told of.
-func (book *Book) newReads(all bool) []Read {
-	told := book.told
-	if all {
-		told = 0
-	}
-	reads := slices.Clone(book.reads[max(told, len(book.reads)-mostReads):])
-	book.told = len(book.reads)
-	if all {
-		book.reads, book.told = nil, 0
+// newReads returns the newest readings of the last rounds.
+func (book *Book) newReads(rounds int) []Read {
+	var reads []Read
+	for _, read := range book.reads {
+		if read.round > book.round-rounds {
+			reads = append(reads, read.Read)
+		}
 	}
-	return reads
+	return reads[max(0, len(reads)-mostReads):]
 }
 
 // Merge takes the share of another instance in the place of its last one.
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -53,7 +54,7 @@
 type Mesh struct {
 	self    string
 	home    string // data centre
-	compose func(all bool) []byte
+	compose func(rounds int) []byte
 	receive func(datagram []byte, from netip.AddrPort)
 	logger  zerolog.Logger
 	conn    *net.UDPConn
@@ -74,7 +75,7 @@
 
 // Callbacks are what a mesh calls, each on one goroutine at a time.
 type Callbacks struct {
-	Compose func(all bool) []byte                      // returns the datagram to send, to all or to the own data centre only
+	Compose func(rounds int) []byte                    // returns the datagram for those who get one in so many rounds
 	Receive func(datagram []byte, from netip.AddrPort) // takes one that came
 	Left    func(instance string)                      // an instance has gone quiet
 }
@@ -199,15 +200,9 @@
 
 func (mesh *Mesh) send(ctx context.Context) {
 	for ctx.Err() == nil {
-		recipients, all, wait := mesh.recipients(time.Now())
-		datagram := mesh.compose(all)
-		if len(datagram) > maxDatagram {
-			mesh.logger.Error().Int("bytes", len(datagram)).Msg("heartbeat is too large")
-			recipients = nil
-		}
-		for _, recipient := range recipients {
-			_, _ = mesh.conn.WriteToUDPAddrPort(datagram, recipient)
-		}
+		near, far, wait := mesh.recipients(time.Now())
+		mesh.sendTo(far, farRatio)
+		mesh.sendTo(near, 1)
 		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
@@ -217,30 +212,52 @@
 	}
 }
 
-// recipients returns whom to send this heartbeat and whether these are all, and
-// ages the members.
-func (mesh *Mesh) recipients(now time.Time) (recipients []netip.AddrPort, all bool, wait time.Duration) {
+// sendTo sends a heartbeat to instances that get one in so many rounds.
+func (mesh *Mesh) sendTo(recipients []netip.AddrPort, rounds int) {
+	if len(recipients) == 0 && rounds > 1 {
+		return
+	}
+	datagram := mesh.compose(rounds)
+	if len(datagram) > maxDatagram {
+		mesh.logger.Error().Int("bytes", len(datagram)).Msg("heartbeat is too large")
+		return
+	}
+	for _, recipient := range recipients {
+		_, _ = mesh.conn.WriteToUDPAddrPort(datagram, recipient)
+	}
+}
+
+// recipients returns to whom this round's heartbeats go, and ages the members.
+// Those in other data centres of a large site take turns, as a heartbeat to all
+// at once fills the link of a weak machine and gets lost.
+func (mesh *Mesh) recipients(now time.Time) (near, far []netip.AddrPort, wait time.Duration) {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	mesh.round++
-	near, far := mesh.periods()
-	all = mesh.urgent || far == near || mesh.round%farRatio == 0
+	nearPeriod, farPeriod := mesh.periods()
+	urgent := mesh.urgent
 	mesh.urgent = false
-	for _, member := range mesh.members {
-		interval := far
-		if member.DataCenter == mesh.home {
-			interval = near
+	for i, name := range slices.Sorted(maps.Keys(mesh.members)) {
+		member := mesh.members[name]
+		isNear := member.DataCenter == mesh.home || farPeriod == nearPeriod
+		interval := farPeriod
+		if isNear {
+			interval = nearPeriod
 		}
 		mesh.age(member, now, max(leastLive, liveFor*interval))
-		due := all || interval == near
-		if !member.live {
-			due = mesh.round%quietRatio == 1
-		}
-		if due {
-			recipients = append(recipients, member.Address)
+		turn := uint64(i)%farRatio == mesh.round%farRatio
+		switch {
+		case !member.live:
+			if mesh.round%quietRatio == 1 {
+				far = append(far, member.Address)
+			}
+		case isNear:
+			near = append(near, member.Address)
+		case turn || urgent:
+			far = append(far, member.Address)
 		}
 	}
-	return recipients, all, near
+	return near, far, nearPeriod
 }
 
 // age marks a member as quiet of which nothing was heard for too long.
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -24,9 +26,14 @@
 }
 
 func start(t *testing.T, home string, receive func([]byte, netip.AddrPort)) *mesh.Mesh {
+	t.Helper()
+	return startWith(t, home, func(int) []byte { return []byte("heartbeat") }, receive)
+}
+
+func startWith(t *testing.T, home string, compose func(int) []byte, receive func([]byte, netip.AddrPort)) *mesh.Mesh {
 	t.Helper()
 	callbacks := mesh.Callbacks{
-		Compose: func(bool) []byte { return []byte("heartbeat") },
+		Compose: compose,
 		Receive: receive,
 		Left:    func(string) {},
 	}
@@ -77,3 +84,48 @@
 		t.Errorf("members %v", members)
 	}
 }
+
+// Pattern: a heartbeat to all instances of a large site at once fills the link
+// of a weak machine, and most of it is lost. Those in other data centres take
+// turns: of 39 live ones three in each round, all of them in 13.
+func TestFarInstancesTakeTurns(t *testing.T) {
+	const (
+		members = 39
+		rounds  = 13
+	)
+	var number atomic.Int64
+	var known atomic.Bool // all members are
+	compose := func(covered int) []byte {
+		if !known.Load() {
+			return []byte("early")
+		}
+		return fmt.Appendf(nil, "%d of %d", number.Add(1), covered)
+	}
+	subject := startWith(t, "tas-a", compose, func([]byte, netip.AddrPort) {})
+	conn, address := peer(t)
+	for i := range members {
+		name := fmt.Sprintf("far-%02d", i)
+		subject.Add(mesh.Member{Instance: name, DataCenter: "tas-b", Address: address})
+		subject.Heard(name)
+	}
+	known.Store(true)
+	sent := map[string]int{}
+	buffer := make([]byte, 64)
+	for received := 0; received < members; {
+		count, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		heartbeat := string(buffer[:count])
+		// The recipients of the first may have been chosen before all were known.
+		if heartbeat != "early" && !strings.HasPrefix(heartbeat, "1 of ") {
+			sent[heartbeat]++
+			received++
+		}
+	}
+	for heartbeat, count := range sent {
+		if count > members/rounds || !strings.HasSuffix(heartbeat, fmt.Sprintf(" of %d", rounds)) {
+			t.Errorf("heartbeat %q went to %d instances", heartbeat, count)
+		}
+	}
+}
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -30,10 +30,13 @@
 }
 
 // compose returns the next heartbeat.
-func (node *Node) compose(all bool) []byte {
+func (node *Node) compose(rounds int) []byte {
 	beat := heartbeat{
 		Instance: node.settings.Instance, Boot: node.boot, Place: node.settings.DataCenter,
-		Share: node.book.Export(all), Usage: node.meter.Export(),
+		Share: node.book.Export(rounds), Usage: node.meter.Export(),
+	}
+	if rounds == 1 { // the last of this round
+		node.book.EndRound()
 	}
 	changing := node.keeper.Changing()
 	if len(changing) > 0 {
