Leave mirrors that failed alone for a while

Cause: on large sites two instances in each data centre read the store, and the others their tables from these.

A mirror that failed is left alone for 2 s, as the store is.

Test: TestLostMirrorIsLeftAlone, failing before.

--- a/internal/transport/mirror/mirror_test.go
+++ b/internal/transport/mirror/mirror_test.go
@@ -161,3 +161,27 @@
 		t.Errorf("a feed from another's version: %v", err)
 	}
 }
+
+// Pattern: the instances that others get their tables from have lost the store.
+// Whoever asks the store instead goes on there for a while. To turn back at once
+// would list the table over and over.
+func TestLostMirrorIsLeftAlone(t *testing.T) {
+	served := serve(t)
+	served.mutex.Lock()
+	served.heard = time.Now().Add(-time.Minute)
+	served.mutex.Unlock()
+	direct := &store{}
+	client := mirror.NewClient()
+	source := mirror.NewSource("targets", direct, client, func() (string, bool) { return served.address, false })
+	if page, err := source.List(context.Background()); err != nil || names(page.Changes) != "from-store" {
+		t.Fatalf("list %v, %v", page, err)
+	}
+	for range 5 {
+		if _, err := source.Feed(context.Background(), 1, time.Second); err != nil {
+			t.Fatalf("feed: %v", err)
+		}
+	}
+	if direct.calls != 6 {
+		t.Errorf("%d calls to the store, want a list and five feeds", direct.calls)
+	}
+}
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -20,7 +20,7 @@
 	// freshAge is how old what a mirror has may be.
 	freshAge = 3500 * time.Millisecond
 	// avoid is how long the store is left alone after it failed, if another
-	// instance serves the table.
+	// instance serves the table, and an instance if the store does.
 	avoid = 2 * time.Second
 )
 
@@ -71,6 +71,7 @@
 	mirror string // in use, empty if the store is
 	boot   uint64
 	lost   time.Time // when the store failed last
+	failed time.Time // when a mirror failed last
 	heard  atomic.Int64
 }
 
@@ -87,9 +88,11 @@
 	mirror, direct := source.choose()
 	direct = direct && time.Since(source.lost) > avoid
 	if mirror != "" && !direct {
-		if page, err := source.listMirror(ctx, mirror); err == nil {
+		page, err := source.listMirror(ctx, mirror)
+		if err == nil {
 			return page, nil
 		}
+		source.failed = time.Now()
 	}
 	page, err := source.store.List(ctx)
 	if err == nil {
@@ -107,7 +110,7 @@
 // Feed waits for changes where the last list came from.
 func (source *Source) Feed(ctx context.Context, after uint64, wait time.Duration) (table.Page, error) {
 	if source.mirror == "" {
-		if mirror, direct := source.choose(); mirror != "" && !direct {
+		if mirror, direct := source.choose(); mirror != "" && !direct && time.Since(source.failed) > avoid {
 			return table.Page{}, code.Errorf(code.RowMissing, "another instance serves the table")
 		}
 		page, err := source.store.Feed(ctx, after, wait)
