Notice in time that a mirror has lost the store

What a mirror has counted as fresh for 3.5 s after its last word from the store, and a watch waited another 2 s.

What a mirror has may be 2.5 s old, a mirror answers a watch as soon as that is over, and a watch lasts 1.4 s at most, so that a mirror that has stopped is noticed as well.

Test: TestLostMirrorIsNoticedInTime, failing before (4 s and 3.5 s, 2.8 s allowed).

--- a/internal/transport/mirror/mirror.go
+++ b/internal/transport/mirror/mirror.go
@@ -132,7 +132,10 @@
 	if response.Whole || len(response.Changes) > 0 || message.WaitMS <= 0 {
 		return connect.NewResponse(response), nil
 	}
-	timer := time.NewTimer(time.Duration(message.WaitMS) * time.Millisecond)
+	// Once the table is too old, its reader must know at once.
+	age := time.Duration(response.AgeMS) * time.Millisecond
+	wait := min(time.Duration(message.WaitMS)*time.Millisecond, max(0, freshAge-age)+time.Millisecond)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-changed:
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,10 +16,14 @@
 )
 
 const (
-	// answerSlack is how long after the longest wait an answer may come.
-	answerSlack = time.Second
-	// freshAge is how old what a mirror has may be.
-	freshAge = 3500 * time.Millisecond
+	// longestWatch bounds one wait at a mirror, and answerSlack how long after
+	// it the answer may come, so that a mirror that has stopped is noticed well
+	// within the 3 s after which a leaving target may get no more requests.
+	longestWatch = time.Second
+	answerSlack  = 400 * time.Millisecond
+	// freshAge is how old what a mirror has may be: longer than two feeds of the
+	// store lie apart, and also well within those 3 s.
+	freshAge = 2500 * time.Millisecond
 	// avoid is how long the store is left alone after it failed, if another
 	// instance serves the table, and an instance if the store does.
 	avoid = 2 * time.Second
@@ -27,14 +32,27 @@
 // Client calls the mirrors of other instances.
 type Client struct{ http *http.Client }
 
+// ClientOption changes a client under construction.
+type ClientOption func(*http.Transport)
+
+// WithDial sets how connections are made.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientOption {
+	return func(transport *http.Transport) { transport.DialContext = dial }
+}
+
 // NewClient returns a client.
-func NewClient() *Client {
+func NewClient(opts ...ClientOption) *Client {
 	const idle = 10 * time.Second
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: dial.New().DialContext, IdleConnTimeout: idle, DisableCompression: true,
-	}}}
+	transport := &http.Transport{DialContext: dial.New().DialContext, IdleConnTimeout: idle, DisableCompression: true}
+	for _, opt := range opts {
+		opt(transport)
+	}
+	return &Client{http: &http.Client{Transport: transport}}
 }
 
+// Close closes the connections that rest.
+func (client *Client) Close() { client.http.CloseIdleConnections() }
+
 func (client *Client) watch(ctx context.Context, address string, message *WatchRequest) (*WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(message.WaitMS)*time.Millisecond+answerSlack)
 	defer cancel()
@@ -123,7 +141,7 @@
 		return page, err
 	}
 	response, err := source.client.watch(ctx, source.mirror, &WatchRequest{
-		Table: source.name, Boot: source.boot, After: after, WaitMS: wait.Milliseconds(),
+		Table: source.name, Boot: source.boot, After: after, WaitMS: min(wait, longestWatch).Milliseconds(),
 	})
 	if err != nil {
 		return table.Page{}, err
