Started instances have no slack of extra calls at first

The slack is divided among all known instances, quiet ones included, and an instance has none in its first window: what its earlier run spent is not known.

--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -167,6 +167,13 @@
 	return members
 }
 
+// Known returns how many instances are known, this one and quiet ones included.
+func (mesh *Mesh) Known() int {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	return len(mesh.members) + 1
+}
+
 // Urge sends the next heartbeat to all.
 func (mesh *Mesh) Urge() {
 	mesh.mutex.Lock()
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -75,6 +75,9 @@
 	if live := subject.Live(); len(live) != 1 || live[0] != "self" {
 		t.Errorf("before any heartbeat: %v", live)
 	}
+	if known := subject.Known(); known != 3 {
+		t.Errorf("%d known, want this one and two that are quiet", known)
+	}
 	subject.Heard("b")
 	subject.Heard("stranger")
 	if live := subject.Live(); len(live) != 2 || live[0] != "b" {
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -96,8 +96,18 @@
 	}
 }
 
-// countMembers divides the budget of extra calls anew when instances come or
-// go.
+// sharers returns the instances among which the slack of the budget of extra
+// calls is divided: all that are known, as those that are quiet may serve beyond
+// a cut. For the first window it is 0, since what an earlier run of this
+// instance has spent is not known.
+func (node *Node) sharers() int {
+	if time.Since(node.begun) < node.settings.Bounds.RetryWindow {
+		return 0
+	}
+	return node.mesh.Known()
+}
+
+// countMembers tells the book when instances come or go.
 func (node *Node) countMembers() {
 	live := int64(len(node.mesh.Live()))
 	if before := node.members.Swap(live); before != live {
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -98,6 +98,7 @@
 	logger   zerolog.Logger
 	registry *prometheus.Registry
 	boot     uint64
+	begun    time.Time
 
 	client  *back.Client
 	book    *place.Book
@@ -130,6 +131,7 @@
 		logger:   logger,
 		registry: prometheus.NewRegistry(),
 		boot:     rand.Uint64(),
+		begun:    time.Now(),
 		behind:   make(chan ahead, 1),
 		book:     place.New(place.WithDataCenter(settings.DataCenter)),
 		tracker:  health.New(health.WithEjection(ejection, ramp)),
@@ -141,7 +143,7 @@
 		back.WithIdleTimeout(idleKept))
 	node.proxy = proxy.New(wire, node.client, node.book, node.tracker, node,
 		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
-		proxy.WithMembers(func() int { return int(node.members.Load()) }))
+		proxy.WithMembers(node.sharers))
 	node.roster = roster.New(wire.Target, node.setTargets, logger)
 	node.mesh = mesh.New(
 		mesh.Member{Instance: settings.Instance, DataCenter: settings.DataCenter},
--- a/internal/transport/proxy/call_test.go
+++ b/internal/transport/proxy/call_test.go
@@ -329,6 +329,25 @@
 	}
 }
 
+// Pattern: all instances are killed and start again at once. What they spent
+// before is not known to them, nor how many they are: they have the share of
+// their requests and no slack.
+func TestStartedInstancesHaveNoSlack(t *testing.T) {
+	world := newWorld(t, proxy.WithMembers(func() int { return 0 }))
+	var calls atomic.Int64
+	for _, id := range []string{"p1", "p2", "p3", "p4"} {
+		world.target(id, "llm", site.Prefill, counted(&calls, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	}
+	world.target("d1", "llm", site.Decode, counted(&calls, func(w http.ResponseWriter, r *http.Request) { events(w, r, 1) }))
+	const requests = 100
+	for range requests {
+		world.do(world.request(http.MethodPost, "/ask/x"))
+	}
+	if extra := calls.Load() - requests; extra > requests/5 {
+		t.Errorf("%d calls beyond the first of %d requests", extra, requests)
+	}
+}
+
 // Pattern: engines are lost faster than the list shows. A prompt that could
 // not be read is not sent on once the budget of extra calls is spent.
 func TestUnreadPromptKeepsToTheBudget(t *testing.T) {
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -64,8 +64,8 @@
 	return func(proxy *Proxy) { proxy.bounds = bounds }
 }
 
-// WithMembers sets how the number of live instances is learned, among which
-// the budget of extra calls is divided.
+// WithMembers sets how the number of instances is learned among which the slack
+// of the budget of extra calls is divided. While it is 0 there is no slack.
 func WithMembers(members func() int) Option {
 	return func(proxy *Proxy) { proxy.members = members }
 }
@@ -167,7 +167,11 @@
 // slack returns this instance's part of the extra calls that are allowed beside
 // the share of requests.
 func (proxy *Proxy) slack() float64 {
-	return budgetShare * proxy.bounds.RetrySlack / float64(max(leastMembers, proxy.members()))
+	members := proxy.members()
+	if members <= 0 {
+		return 0
+	}
+	return budgetShare * proxy.bounds.RetrySlack / float64(max(leastMembers, members))
 }
 
 // observe tells the health of targets how a request at one ended.
