--- a/internal/coordination/feed/follow.go
+++ b/internal/coordination/feed/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/peerpb"
 )
@@ -41,7 +42,7 @@
 			return
 		case <-feed.offers:
 		}
-		pause(ctx, feed.randomBelow(offerSpread))
+		pause.For(ctx, feed.randomBelow(offerSpread))
 		number := feed.offered.Load()
 		err := feed.fetch(ctx, number)
 		if err == nil {
@@ -63,7 +64,7 @@
 	case feed.hurry <- struct{}{}:
 	default:
 	}
-	pause(ctx, feed.jitter(offerRetryDelay<<failures))
+	pause.For(ctx, feed.jitter(offerRetryDelay<<failures))
 	feed.offered.CompareAndSwap(number, 0)
 }
 
--- a/internal/coordination/feed/poll.go
+++ b/internal/coordination/feed/poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/code"
 )
 
@@ -26,7 +27,7 @@
 	failures, first, cutOff := 0, true, true
 	due := time.Now().Add(feed.randomBelow(startSpread))
 	for ctx.Err() == nil {
-		pause(ctx, min(time.Until(due), feed.jitter(pollCheckInterval)))
+		pause.For(ctx, min(time.Until(due), feed.jitter(pollCheckInterval)))
 		wasCutOff := cutOff
 		cutOff = feed.cutOff()
 		if feed.hurried() || cutOff && !wasCutOff {
--- a/internal/coordination/feed/publish.go
+++ b/internal/coordination/feed/publish.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/note"
 	"mangopier.example/mangopier/internal/state/table"
@@ -158,15 +159,6 @@
 		if !transient || attempt == publishAttempts || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, publishRetryDelay/2+rand.N(publishRetryDelay))
-	}
-}
-
-func pause(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		pause.For(ctx, publishRetryDelay/2+rand.N(publishRetryDelay))
 	}
 }
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/state/table"
 )
 
@@ -76,7 +77,7 @@
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			sleep(ctx, follower.step(ctx))
+			pause.For(ctx, follower.step(ctx))
 		}
 	}()
 	return done
@@ -209,15 +210,3 @@
 	most := min(mostBackoff, firstBackoff<<min(follower.failures-1, 10))
 	return most/2 + rand.N(most/2)
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/coordination/gossip/list.go
+++ b/internal/coordination/gossip/list.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"mangopier.example/mangopier/internal/coordination/pause"
 )
 
 const (
@@ -25,7 +27,7 @@
 			failures = 0
 		}
 		interval := max(listMinInterval, time.Duration(members.Count())*listPerInstance)
-		pause(ctx, members.jitter(interval<<failures))
+		pause.For(ctx, members.jitter(interval<<failures))
 	}
 }
 
@@ -45,12 +47,3 @@
 	members.refresh()
 	return nil
 }
-
-func pause(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/coordination/lease/contest.go
+++ b/internal/coordination/lease/contest.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"mangopier.example/mangopier/internal/coordination/pause"
 )
 
 // contest is the state of the loop that contests one lease. Only the goroutine
@@ -18,7 +20,7 @@
 func (contest *contest) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		wait := contest.step(ctx)
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 	}
 	return contest.release(context.WithoutCancel(ctx))
 }
@@ -48,12 +50,3 @@
 func (contest *contest) call(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, contest.lease.options.term/callDivisor)
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/coordination/lease/watch.go
+++ b/internal/coordination/lease/watch.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/state/table"
 )
@@ -135,7 +136,7 @@
 	for ctx.Err() == nil && time.Now().Before(limit) {
 		row, err := contest.get(ctx, contest.lease.epochKey())
 		if err != nil {
-			sleep(ctx, contest.failed(err, "confirm"))
+			pause.For(ctx, contest.failed(err, "confirm"))
 			continue
 		}
 		contest.failures = 0
--- a/internal/coordination/once/claim.go
+++ b/internal/coordination/once/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/state/table"
 )
@@ -170,12 +171,5 @@
 func (claim *claim) sleep(ctx context.Context) bool {
 	delay := claim.guard.jitter(claim.poll)
 	claim.poll = min(2*claim.poll, lastPollMS*time.Millisecond)
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, delay)
 }
--- a/internal/coordination/once/queue.go
+++ b/internal/coordination/once/queue.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"mangopier.example/mangopier/internal/coordination/pause"
 )
 
 const lastRetryMS = 5000
@@ -158,7 +160,7 @@
 			return
 		}
 		guard.logger().Warn().Err(err).Str("row", job.key).Msg("store does not take an outcome")
-		if !pause(ctx, job.retries.NextBackOff()) {
+		if !pause.For(ctx, job.retries.NextBackOff()) {
 			break
 		}
 	}
@@ -173,17 +175,6 @@
 	return retries
 }
 
-func pause(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (job *job) size() int {
 	size := len(job.body)
 	if job.record.Outcome != nil {
--- a/internal/coordination/order/write.go
+++ b/internal/coordination/order/write.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/state/table"
 )
@@ -81,7 +82,7 @@
 		case !unknown && patience == impatient:
 			return err
 		}
-		if !sleep(ctx, issuer.options.backoff(failures)) {
+		if !pause.For(ctx, issuer.options.backoff(failures)) {
 			return err
 		}
 		if !unknown {
@@ -189,20 +190,8 @@
 		if err == nil || code.Is(err, code.RowMalformed) {
 			return ticket, version, err
 		}
-		if !sleep(ctx, issuer.options.backoff(failures)) {
+		if !pause.For(ctx, issuer.options.backoff(failures)) {
 			return ticket, version, err
 		}
 	}
 }
-
-// sleep waits and reports whether the context is still good.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/coordination/usage/copy.go
+++ b/internal/coordination/usage/copy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/code"
 )
 
@@ -64,7 +65,7 @@
 	holder, whole := meter.copyChanges(ctx)
 	switch {
 	case holder == "":
-		pause(ctx, meter.jitter(meter.settings.copyTimeout/retryShare))
+		pause.For(ctx, meter.jitter(meter.settings.copyTimeout/retryShare))
 	case !whole:
 		meter.follow(ctx, holder)
 	}
@@ -208,7 +209,7 @@
 			return code.Wrap(errors.Join(ctx.Err(), err), code.WriteUnknown, "the figures were not handed off")
 		}
 		if err != nil {
-			pause(ctx, meter.jitter(meter.settings.copyTimeout))
+			pause.For(ctx, meter.jitter(meter.settings.copyTimeout))
 		}
 	}
 	return nil
@@ -232,16 +233,6 @@
 	return errors.Join(errs...)
 }
 
-// pause waits for a time, or until ctx ends.
-func pause(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (meter *Meter) jitter(delay time.Duration) time.Duration {
 	meter.mu.Lock()
 	defer meter.mu.Unlock()
--- a/internal/coordination/usage/freezer.go
+++ b/internal/coordination/usage/freezer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/state/table"
 )
@@ -115,12 +116,7 @@
 
 func (freezer *Freezer) run(ctx context.Context) {
 	for {
-		delay := freezer.step(ctx)
-		timer := time.NewTimer(delay)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, freezer.step(ctx)) {
 			return
 		}
 	}
--- a/internal/transport/bench/drive.go
+++ b/internal/transport/bench/drive.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/code"
 )
 
@@ -99,7 +100,7 @@
 	go func() {
 		started := time.Now()
 		for _, fault := range faults {
-			if !sleepUntil(ctx, started.Add(fault.At)) {
+			if !pause.For(ctx, time.Until(started.Add(fault.At))) {
 				break
 			}
 			if err := endpoint.Inject(ctx, fault); err != nil && ctx.Err() == nil {
@@ -111,14 +112,3 @@
 	}()
 	return done
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/transport/entry/control.go
+++ b/internal/transport/entry/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mangopier.example/mangopier/internal/coordination/lease"
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/coordination/usage"
 	"mangopier.example/mangopier/internal/protocol/conf"
 	"mangopier.example/mangopier/internal/state/table"
@@ -112,7 +113,7 @@
 	go func() {
 		after := ""
 		for ctx.Err() == nil {
-			rest(ctx, sweepPause)
+			pause.For(ctx, sweepPause)
 			if _, held := control.reports.Held(); !held || ctx.Err() != nil {
 				continue
 			}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -17,6 +17,7 @@
 	"mangopier.example/mangopier/internal/coordination/gossip"
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/once"
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/coordination/poison"
 	"mangopier.example/mangopier/internal/coordination/route"
 	"mangopier.example/mangopier/internal/coordination/usage"
@@ -156,7 +157,7 @@
 	timeouts := instance.settings.Timeouts
 	instance.relay.Stopping()
 	instance.members.Leave()
-	rest(ctx, conf.Milliseconds(timeouts.DrainGraceMS))
+	pause.For(ctx, conf.Milliseconds(timeouts.DrainGraceMS))
 	instance.relay.Leave()
 	drainCtx, cancel := context.WithTimeout(ctx, conf.Milliseconds(timeouts.DrainMS))
 	defer cancel()
@@ -205,15 +206,6 @@
 	innerStopTimeout = time.Second
 )
 
-func rest(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Targets returns how many targets the instance polls.
 func (instance *Instance) Targets() int {
 	return int(instance.watcher.count.Load())
--- a/internal/transport/entry/poll.go
+++ b/internal/transport/entry/poll.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/coordination/route"
 	"mangopier.example/mangopier/internal/protocol/conf"
 	"mangopier.example/mangopier/internal/protocol/engine"
@@ -88,7 +89,7 @@
 			cacheAt = time.Now()
 			after = watcher.askCache(ctx, target, after)
 		}
-		rest(ctx, interval/2+rand.N(interval))
+		pause.For(ctx, interval/2+rand.N(interval))
 	}
 }
 
--- a/internal/transport/entry/steward.go
+++ b/internal/transport/entry/steward.go
@@ -8,6 +8,7 @@
 
 	"mangopier.example/mangopier/internal/coordination/lease"
 	"mangopier.example/mangopier/internal/coordination/order"
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/coordination/plan"
 	"mangopier.example/mangopier/internal/coordination/roles"
 	"mangopier.example/mangopier/internal/protocol/infra"
@@ -69,7 +70,7 @@
 			steward.begin(grant)
 			steward.step(ctx)
 		}
-		rest(ctx, stewardPause)
+		pause.For(ctx, stewardPause)
 	}
 }
 
--- a/internal/transport/fakes/answer.go
+++ b/internal/transport/fakes/answer.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-json-experiment/json"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/chat"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/engine"
@@ -125,7 +126,7 @@
 		return
 	}
 	defer fake.settle(fresh, job.total-job.first)
-	if !sleep(ctx, delay) {
+	if !pause.For(ctx, delay) {
 		return
 	}
 	if fake.crashesOn(job.request) {
@@ -171,7 +172,7 @@
 func (fake *Engine) whole(ctx context.Context, w http.ResponseWriter, job *job) {
 	var text strings.Builder
 	for index := job.first; index < job.total; index++ {
-		if !sleep(ctx, fake.tokenInterval()) || !fake.unlessSilent(ctx) {
+		if !pause.For(ctx, fake.tokenInterval()) || !fake.unlessSilent(ctx) {
 			return
 		}
 		text.WriteString(word(job.hash, index))
@@ -190,7 +191,7 @@
 func (fake *Engine) stream(ctx context.Context, w http.ResponseWriter, job *job) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	for index := job.first; index < job.total; index++ {
-		if !sleep(ctx, fake.tokenInterval()) || !fake.unlessSilent(ctx) {
+		if !pause.For(ctx, fake.tokenInterval()) || !fake.unlessSilent(ctx) {
 			return
 		}
 		text := &chat.Text{Content: word(job.hash, index)}
@@ -256,17 +257,3 @@
 	w.WriteHeader(status)
 	_ = json.MarshalWrite(w, infra.Failure{Code: int(code.TargetRefused), Message: message})
 }
-
-func sleep(ctx context.Context, delay time.Duration) bool {
-	if delay <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/transport/fakes/service.go
+++ b/internal/transport/fakes/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-json-experiment/json"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/engine"
 )
 
@@ -90,7 +91,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	number := service.run(r, string(body))
-	if !sleep(r.Context(), service.Delay) {
+	if !pause.For(r.Context(), service.Delay) {
 		return
 	}
 	switch fault {
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"mangopier.example/mangopier/internal/coordination/pause"
 )
 
 const (
@@ -210,12 +212,7 @@
 		near, far, wait := mesh.recipients(time.Now())
 		mesh.sendTo(far, farRatio)
 		mesh.sendTo(near, 1)
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		pause.For(ctx, wait)
 	}
 }
 
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/coordination/tally"
 	"mangopier.example/mangopier/internal/transport/mesh"
@@ -152,12 +153,8 @@
 }
 
 func (node *Node) catchUp(ctx context.Context, client *mirror.Client, ahead ahead) {
-	timer := time.NewTimer(headStart)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !pause.For(ctx, headStart) {
 		return
-	case <-timer.C:
 	}
 	if manifest := node.proxy.Manifest(); manifest != nil && manifest.Version >= ahead.version {
 		return
--- a/internal/transport/node/members.go
+++ b/internal/transport/node/members.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/go-json-experiment/json"
 
 	"mangopier.example/mangopier/internal/coordination/lease"
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/transport/mesh"
 )
 
@@ -35,12 +35,7 @@
 			if !node.readMembers(ctx) || !written {
 				wait = memberRetry
 			}
-			timer := time.NewTimer(wait)
-			select {
-			case <-ctx.Done():
-			case <-timer.C:
-			}
-			timer.Stop()
+			pause.For(ctx, wait)
 		}
 	}()
 	return done
--- a/internal/transport/relay/attempt.go
+++ b/internal/transport/relay/attempt.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"mangopier.example/mangopier/internal/coordination/health"
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/coordination/poison"
 	"mangopier.example/mangopier/internal/coordination/retry"
 	"mangopier.example/mangopier/internal/coordination/route"
@@ -37,7 +38,7 @@
 		}
 		exchange.mayHaveRun = exchange.mayHaveRun || mayHaveRun(failure)
 		decision := relay.policy.Decide(*failure)
-		if decision.Action == retry.Answer || !pause(ctx, decision.Delay) {
+		if decision.Action == retry.Answer || !pause.For(ctx, decision.Delay) {
 			return relay.giveUp(ctx, exchange, decision.Err, failure)
 		}
 		relay.metrics.retries.Inc()
@@ -324,17 +325,3 @@
 func deadlinePassed(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 }
-
-func pause(ctx context.Context, delay time.Duration) bool {
-	if delay <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/transport/relay/service.go
+++ b/internal/transport/relay/service.go
@@ -13,6 +13,7 @@
 	"mangopier.example/mangopier/internal/coordination/admit"
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/once"
+	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/coordination/retry"
 	"mangopier.example/mangopier/internal/coordination/route"
 	"mangopier.example/mangopier/internal/coordination/usage"
@@ -192,7 +193,7 @@
 		}
 		errand.mayHaveRun = errand.mayHaveRun || mayHaveRun(failure)
 		decision := relay.policy.Decide(*failure)
-		if decision.Action != retry.Again || !pause(ctx, decision.Delay) {
+		if decision.Action != retry.Again || !pause.For(ctx, decision.Delay) {
 			err := errandError(decision.Err, failure)
 			if errand.mayHaveRun {
 				err = neverNotRun(err)
