Proxy, place, node: one piece where two did the same

conclude ended as stopped does and calls it now; the sources of a prompt checked by themselves what usable checks; the count of instances in node had no reader but itself since the budget's slack is divided among the known ones; release and spread only called one function.

--- a/internal/coordination/place/fetch.go
+++ b/internal/coordination/place/fetch.go
@@ -18,7 +18,7 @@
 	var offers []offer
 	equal := map[string]int{}
 	for _, state := range book.services[service] {
-		if state.cache == nil || state.weight <= 0 || now.Before(state.paused) || now.Before(state.change) {
+		if state.cache == nil || !state.answers(now) {
 			continue
 		}
 		tokens := state.cache.ready(parts, now)
--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -224,7 +224,13 @@
 
 // usable reports whether a target may get new work.
 func (state *state) usable(now time.Time) bool {
-	return !state.Leaving && state.weight > 0 && !now.Before(state.paused) && !now.Before(state.change)
+	return !state.Leaving && state.answers(now)
+}
+
+// answers reports whether the target is taken to answer calls, also if it is
+// leaving.
+func (state *state) answers(now time.Time) bool {
+	return state.weight > 0 && !now.Before(state.paused) && !now.Before(state.change)
 }
 
 func (load *Load) add(other *Load, sign float64) {
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -58,7 +58,7 @@
 		node.meter.SetOffset(node.source(), offset)
 		beat.Offset = int64(offset)
 	}
-	node.countMembers()
+	node.book.SetMembers(len(node.mesh.Members()) + 1)
 	data, err := cbor.Marshal(beat)
 	if err != nil {
 		node.logger.Error().Str("part", "node").Err(err).Msg("heartbeat cannot be written")
@@ -108,14 +108,6 @@
 	return node.mesh.Known()
 }
 
-// countMembers tells the book when instances come or go.
-func (node *Node) countMembers() {
-	live := int64(len(node.mesh.Live()))
-	if before := node.members.Swap(live); before != live {
-		node.book.SetMembers(int(live))
-	}
-}
-
 // pause keeps requests from engines that change their stage, until the list
 // shows the new one.
 func (node *Node) pause(changing map[string]int64) {
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -117,7 +117,6 @@
 	targets  atomic.Pointer[[]site.Target]
 	stopping atomic.Bool
 	busy     atomic.Bool // a request has come, here or at another instance
-	members  atomic.Int64
 	cancel   context.CancelFunc
 	ended    []<-chan struct{}
 	leased   <-chan error
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -46,18 +46,18 @@
 		}
 		if !ok || (crowd >= crowdMost && len(tried) > 0) {
 			if ok {
-				exchange.release(&run)
+				exchange.proxy.book.Ended(&run)
 			}
 			exchange.conclude(ctx, kept)
 			return
 		}
 		if crowd >= crowdMost {
-			exchange.release(&run)
+			exchange.proxy.book.Ended(&run)
 			exchange.refuse(exchange.noRoom(code.TeamOverloaded, leastRetryAfter))
 			return
 		}
 		outcome, answer := exchange.try(ctx, run)
-		exchange.release(&run)
+		exchange.proxy.book.Ended(&run)
 		if outcome == answered {
 			return
 		}
@@ -104,19 +104,7 @@
 		exchange.deliver(kept.answer, kept.body)
 		return
 	}
-	run := code.NotRun
-	if exchange.runs > 0 {
-		run = code.RunUnknown
-	}
-	if err := exchange.ended(ctx, run); err != nil {
-		exchange.refuse(err)
-		return
-	}
-	if exchange.runs > 0 {
-		exchange.refuse(code.Errorf(code.TargetFailed, "no whole answer came"))
-		return
-	}
-	exchange.refuse(exchange.noRoom(code.NoTarget, leastRetryAfter))
+	exchange.refuse(exchange.stopped(ctx, leastRetryAfter))
 }
 
 // try sends the request to one target. If the target failed with an answer of
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
-	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/site"
 	"mangopier.example/mangopier/internal/transport/back"
@@ -208,7 +208,7 @@
 // when to come back. Those that are refused together come back apart.
 func (exchange *exchange) noRoom(number code.Code, wait time.Duration) error {
 	wait = max(wait, leastRetryAfter)
-	wait += time.Duration(exchange.proxy.spread() * float64(wait))
+	wait += time.Duration(rand.Float64() * float64(wait))
 	if most := exchange.proxy.bounds.MostRetryAfter; most > 0 {
 		wait = min(wait, most)
 	}
@@ -279,6 +279,3 @@
 	echo := answer.Header.Get(exchange.proxy.wire.AttemptHeader())
 	return reply.Signed && echo == exchange.request.ID && answer.Header.Get("Content-Encoding") == ""
 }
-
-// release ends a run in the book.
-func (exchange *exchange) release(run *place.Run) { exchange.proxy.book.Ended(run) }
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -45,11 +45,11 @@
 		}
 		if !ok {
 			exchange.free(source.handle)
-			exchange.refuse(exchange.stopped(ctx))
+			exchange.refuse(exchange.stopped(ctx, time.Second))
 			return
 		}
 		outcome := exchange.run(ctx, run, source, stream)
-		exchange.release(&run)
+		exchange.proxy.book.Ended(&run)
 		if outcome == answered {
 			return
 		}
@@ -61,7 +61,7 @@
 		tried = append(tried, run.Target.ID)
 		if !exchange.mayGoOn(ctx, outcome, tries) {
 			exchange.free(source.handle)
-			exchange.refuse(exchange.stopped(ctx))
+			exchange.refuse(exchange.stopped(ctx, time.Second))
 			return
 		}
 	}
@@ -76,8 +76,9 @@
 	return repeatable && exchange.afford(outcome)
 }
 
-// stopped returns the error of a generation that is not tried again.
-func (exchange *exchange) stopped(ctx context.Context) error {
+// stopped returns the error of a request that is not tried again. Wait is when
+// to come back if no target ran it.
+func (exchange *exchange) stopped(ctx context.Context, wait time.Duration) error {
 	run := code.NotRun
 	if exchange.runs > 0 {
 		run = code.RunUnknown
@@ -88,7 +89,7 @@
 	if exchange.runs > 0 {
 		return code.Errorf(code.TargetFailed, "no whole answer came")
 	}
-	return exchange.noRoom(code.NoTarget, time.Second)
+	return exchange.noRoom(code.NoTarget, wait)
 }
 
 // prompt tells an engine where to get the memory of a prompt.
--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -108,6 +107,3 @@
 }
 
 func round(value float64) float64 { return float64(int(value*10)) / 10 }
-
-// spread returns a random number from 0 to 1.
-func (*Proxy) spread() float64 { return rand.Float64() }
