Decode engines follow the demand for them

Cause: one engine in six decodes whatever the outputs are.

The holder of the lease now plans decode engines from the slots or the memory that requests fill at them, smoothed over 1 s and with its peak held for 10 s, so that a mix that swings every 3 s keeps its engines.

--- a/internal/coordination/duty/duty.go
+++ b/internal/coordination/duty/duty.go
@@ -62,6 +62,9 @@
 	TrueTime      time.Time // time of day, derived from the store's clock
 	TrueTimeKnown bool      // TrueTime is derived from the store's clock; if not, from the local one
 	NoRequestsYet bool      // no request has arrived yet, at any instance
+	// DecodeDemand is, by service, the number of engines that the requests being
+	// decoded fill.
+	DecodeDemand map[string]float64
 }
 
 // Runner runs the duties while this instance holds the lease.
@@ -77,6 +80,7 @@
 	// Used by the goroutine that orders; pending also by PendingStageChanges.
 	orderEpoch uint64
 	planners   map[string]*shape.CapacityPlanner // by service
+	demand     map[string]*shape.DemandTracker   // by service
 	pending    pendingChanges
 
 	// Used by the goroutine that reports.
@@ -102,6 +106,7 @@
 		snapshot: config.Snapshot, duties: config.Duties,
 		logger:   config.Logger.With().Str("part", "duty").Logger(),
 		planners: map[string]*shape.CapacityPlanner{},
+		demand:   map[string]*shape.DemandTracker{},
 	}
 }
 
--- a/internal/coordination/duty/order.go
+++ b/internal/coordination/duty/order.go
@@ -18,6 +18,7 @@
 	if grant.Epoch != runner.orderEpoch {
 		runner.orderEpoch = grant.Epoch
 		clear(runner.planners)
+		clear(runner.demand)
 		runner.pending.clear()
 	}
 	snapshot := runner.snapshot()
@@ -66,6 +67,7 @@
 // served, it limits the part of the engines that change at the same time.
 func (runner *Runner) orderStages(ctx context.Context, service site.Service, snapshot *Snapshot) {
 	now := time.Now()
+	demand := runner.peakDemand(service.Name, snapshot.DecodeDemand[service.Name], now)
 	if planner, ok := runner.planners[service.Name]; ok && !planner.IsSettled(service, snapshot.Targets, now) {
 		return
 	}
@@ -80,20 +82,29 @@
 		maxChanging = engines
 	}
 	changing := runner.pending.stages(now)
-	for _, change := range shape.PlanStageChanges(service, snapshot.Targets, changing) {
+	for _, change := range shape.PlanStageChanges(service, snapshot.Targets, changing, demand) {
 		if len(changing) >= maxChanging {
 			return
 		}
 		changing[change.Target.ID] = change.Stage
-		runner.orderStage(ctx, change, service.Engine.StageChangeTime)
+		runner.orderStage(ctx, change, demand, service.Engine.StageChangeTime)
 	}
 }
 
+func (runner *Runner) peakDemand(service string, demand float64, now time.Time) float64 {
+	tracker, ok := runner.demand[service]
+	if !ok {
+		tracker = &shape.DemandTracker{}
+		runner.demand[service] = tracker
+	}
+	return tracker.Record(demand, now)
+}
+
 // orderStage fetches an engine's status and orders the change. The order
 // carries the number of orders that the engine must have accepted before, so
 // that an order that is carried out late cannot undo a newer one. An engine
 // that is busy or already at the stage gets no order for stageReportDelay.
-func (runner *Runner) orderStage(ctx context.Context, change shape.StageChange, stageChangeTime time.Duration) {
+func (runner *Runner) orderStage(ctx context.Context, change shape.StageChange, demand float64, stageChangeTime time.Duration) {
 	status, err := runner.platform.FetchEngineStatus(ctx, change.Target)
 	if err != nil {
 		runner.logger.Warn().Err(err).Str("target", change.Target.ID).Msg("target state not available, stage order postponed")
@@ -115,7 +126,7 @@
 	if err != nil {
 		event = runner.logger.Warn().Err(err)
 	}
-	event.Str("target", change.Target.ID).Stringer("stage", change.Stage).Int64("expected", status.OrdersAccepted).
+	event.Str("target", change.Target.ID).Stringer("stage", change.Stage).Float64("decode-demand", demand).Int64("expected", status.OrdersAccepted).
 		Uint64("fence", grant.Epoch).Msg("stage ordered")
 }
 
--- a/internal/coordination/shape/capacity.go
+++ b/internal/coordination/shape/capacity.go
@@ -182,14 +182,8 @@
 	last.spot = lastOrder{}
 }
 
-// StageChange is an engine and the stage that it should change to.
-type StageChange struct {
-	Target site.Target
-	Stage  site.Stage
-}
-
-// enginesPerDecode is the number of engines for each decode engine. In the site
-// descriptions prefill is five sixths of the work.
+// enginesPerDecode is the number of engines for each decode engine, unless the
+// demand needs more. With long prompts, prefill is five sixths of the work.
 const enginesPerDecode = 6.0
 
 // minDecodeEngines is the least number of decode engines, so that the loss of
@@ -199,13 +193,13 @@
 // PlanStageChanges returns the engines of a service that should change their
 // stage, the best suited first. It returns only as many as a stage lacks,
 // because a change takes an engine out of service for seconds. Engines in
-// changing, by target ID, count for the stage that they change to.
-func PlanStageChanges(service site.Service, targets []site.Target, changing map[string]site.Stage) []StageChange {
+// changing, by target ID, count for the stage that they change to. Demand is the
+// number of engines that the requests being decoded fill.
+func PlanStageChanges(service site.Service, targets []site.Target, changing map[string]site.Stage, demand float64) []StageChange {
 	engines := listEngines(service, targets, changing)
 	if service.Engine == nil || len(engines) < 2 {
 		return nil
 	}
-	wanted := max(min(minDecodeEngines, len(engines)/2), int(float64(len(engines))/enginesPerDecode+0.5))
 	decode := 0
 	decodeByDataCenter := map[string]int{}
 	for _, target := range engines {
@@ -214,12 +208,13 @@
 			decodeByDataCenter[target.DataCenter]++
 		}
 	}
-	stage, missing := site.Decode, wanted-decode
-	if missing < 0 {
-		stage, missing = site.Prefill, -missing
+	lowest, highest := decodeEngineRange(len(engines), demand)
+	stage, missing := site.Decode, lowest-decode
+	if decode > highest {
+		stage, missing = site.Prefill, decode-highest
 	}
 	var changes []StageChange
-	for range missing {
+	for range max(0, missing) {
 		chosen, ok := chooseEngine(engines, changing, stage, decodeByDataCenter)
 		if !ok {
 			break
--- a/internal/coordination/shape/shape_test.go
+++ b/internal/coordination/shape/shape_test.go
@@ -131,7 +131,7 @@
 // spread over the data centres. No more engines change than a stage lacks.
 func TestPlansOnlyMissingStageChanges(t *testing.T) {
 	targets := append(newEngines("a", 1, 5, site.Decode), newEngines("b", 1, 5, site.Decode)...)
-	changes := shape.PlanStageChanges(service, targets, nil)
+	changes := shape.PlanStageChanges(service, targets, nil, 0)
 	if decode := countDecode(targets, changes); decode != 2 || len(changes) != 10 {
 		t.Errorf("PlanStageChanges() leaves %d of 12 engines for decode after %d changes, want 2 after 10", decode, len(changes))
 	}
@@ -142,14 +142,14 @@
 	if decodeByDataCenter["a"] != 1 || decodeByDataCenter["b"] != 1 {
 		t.Errorf("decode engines by data centre = %v, want 1 each", decodeByDataCenter)
 	}
-	if more := shape.PlanStageChanges(service, targets, map[string]site.Stage{}); len(more) != len(changes) {
+	if more := shape.PlanStageChanges(service, targets, map[string]site.Stage{}, 0); len(more) != len(changes) {
 		t.Errorf("PlanStageChanges() again = %d changes, want %d", len(more), len(changes))
 	}
 	changing := map[string]site.Stage{}
 	for _, change := range changes {
 		changing[change.Target.ID] = change.Stage
 	}
-	if more := shape.PlanStageChanges(service, targets, changing); len(more) != 0 {
+	if more := shape.PlanStageChanges(service, targets, changing, 0); len(more) != 0 {
 		t.Errorf("PlanStageChanges() while engines change = %+v, want none", more)
 	}
 }
@@ -157,11 +157,62 @@
 // All decode engines are lost at once; regular prefill engines replace them.
 func TestLostDecodeEnginesAreReplaced(t *testing.T) {
 	targets := append(newEngines("a", 1, 3, site.Prefill), newEngines("b", 1, 3, site.Prefill)...)
-	changes := shape.PlanStageChanges(service, targets, nil)
+	changes := shape.PlanStageChanges(service, targets, nil, 0)
 	if len(changes) != 2 || changes[0].Stage != site.Decode || changes[0].Target.Spot || changes[1].Target.Spot {
 		t.Errorf("PlanStageChanges() = %+v, want 2 regular engines to decode", changes)
 	}
-	if changes := shape.PlanStageChanges(service, targets[:1], nil); changes != nil {
+	if changes := shape.PlanStageChanges(service, targets[:1], nil, 0); changes != nil {
 		t.Errorf("PlanStageChanges() with a single engine = %+v, want none", changes)
 	}
 }
+
+// Requests with long outputs fill the decode engines, such as with 90 events of
+// 51 tokens to an output. Engines change to decode until the demand fits, also
+// right after a data centre's engines were reclaimed. Half of the engines stay
+// with prefill.
+func TestDecodeEnginesFollowDemand(t *testing.T) {
+	all := append(newEngines("a", 1, 5, site.Prefill), newEngines("b", 1, 5, site.Prefill)...)
+	for _, test := range []struct {
+		targets []site.Target
+		demand  float64
+		want    int
+	}{{all, 0, 2}, {all, 1.1, 2}, {all, 2.2, 4}, {all, 9, 6}, {all[:6], 1.7, 3}, {all[:7], 1.7, 3}} {
+		if decode := countDecode(test.targets, shape.PlanStageChanges(service, test.targets, nil, test.demand)); decode != test.want {
+			t.Errorf("%d of %d engines decode at demand %v, want %d", decode, len(test.targets), test.demand, test.want)
+		}
+	}
+}
+
+// Demand that falls a little does not move engines back and forth.
+func TestDecodeEnginesStayWhenDemandFallsALittle(t *testing.T) {
+	targets := append(newEngines("a", 4, 0, site.Decode), newEngines("b", 0, 8, site.Prefill)...)
+	for demand, want := range map[float64]int{2.4: 4, 1.7: 4, 1.4: 4, 1.1: 3, 0.2: 2} {
+		if decode := countDecode(targets, shape.PlanStageChanges(service, targets, nil, demand)); decode != want {
+			t.Errorf("%d engines decode after the demand fell to %v, want %d", decode, demand, want)
+		}
+	}
+}
+
+// The demand swings every 3 s. Its peak counts throughout, and ends 10 s after
+// the last one.
+func TestDemandTrackerHoldsPeaks(t *testing.T) {
+	var tracker shape.DemandTracker
+	now := time.Now()
+	record := func(demand float64, length time.Duration) (peak float64) {
+		for ; length > 0; length -= 250 * time.Millisecond {
+			now = now.Add(250 * time.Millisecond)
+			peak = tracker.Record(demand, now)
+		}
+		return peak
+	}
+	record(4, 3*time.Second)
+	for range 5 {
+		if peak := record(1, 3*time.Second); peak < 3.5 {
+			t.Errorf("peak between the swings = %.2f, want almost 4", peak)
+		}
+		record(4, 3*time.Second)
+	}
+	if peak := record(1, 13*time.Second); peak > 1.5 {
+		t.Errorf("peak 13 s after the last swing = %.2f, want about 1", peak)
+	}
+}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -253,6 +253,12 @@
 	if targets := node.targets.Load(); targets != nil {
 		snapshot.Targets = *targets
 	}
+	if snapshot.Manifest != nil {
+		snapshot.DecodeDemand = make(map[string]float64, len(snapshot.Manifest.Services))
+		for name, service := range snapshot.Manifest.Services {
+			snapshot.DecodeDemand[name] = node.scheduler.DecodeDemand(service)
+		}
+	}
 	snapshot.NoRequestsYet = !node.requestSeen.Load()
 	snapshot.TrueTime, snapshot.TrueTimeKnown = node.trueTime()
 	return snapshot
