A lease that is being taken for the first time is no error

Cause: an instance that reads the heartbeat row before and the epoch row after another one has written both logged "row of the lease cannot be decoded".

It now reads both rows again once before it reports them.

--- a/internal/coordination/lease/contest.go
+++ b/internal/coordination/lease/contest.go
@@ -15,6 +15,7 @@
 	observed            observation
 	consecutiveFailures int    // of store calls
 	takeoverAttempts    uint64 // part of the nonces of takeovers
+	heartbeatMissing    bool   // the last read found an epoch row and no heartbeat row
 }
 
 func (candidate *candidate) run(ctx context.Context) error {
--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -1,14 +1,18 @@
 package lease_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"mangopier.example/mangopier/internal/coordination/lease"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/state/memory"
@@ -216,6 +220,36 @@
 	}
 }
 
+// At the start of a site many instances read the lease's two rows while one of
+// them writes both. An instance that reads one row before and one after that
+// must not report the lease as malformed.
+func TestReadDuringFirstTakeoverIsNoError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.SetFault(func(call memory.Call) memory.Fault {
+			switch {
+			case call.Client == "slow" && call.Method == "get" && call.Key == epochKey:
+				return memory.Fault{Delay: 100 * time.Millisecond}
+			case call.Client == "first":
+				return memory.Fault{Delay: 20 * time.Millisecond}
+			default:
+				return memory.Fault{}
+			}
+		})
+		var log bytes.Buffer
+		slow := start(store.Client("slow"), "slow", 1, lease.WithLogger(zerolog.New(&log)))
+		first := start(store.Client("first"), "first", 2)
+		time.Sleep(5 * leaseDuration)
+		if !isHolder(first) || isHolder(slow) {
+			t.Error("the first writer is not the holder, or the reader is")
+		}
+		shutDownAll([]*process{slow, first})
+		if strings.Contains(log.String(), `"level":"error"`) {
+			t.Errorf("log of the reader = %s, want no errors", log.String())
+		}
+	})
+}
+
 // Store outages that begin at different times after a renewal must not cost a
 // live holder its lease.
 func TestHolderKeepsLeaseAcrossOutageAtAnyPhase(t *testing.T) {
--- a/internal/coordination/lease/watch.go
+++ b/internal/coordination/lease/watch.go
@@ -27,7 +27,7 @@
 	case err != nil:
 		return candidate.recordFailure(err, "watch")
 	}
-	candidate.consecutiveFailures = 0
+	candidate.consecutiveFailures, candidate.heartbeatMissing = 0, false
 	record, err := decodeHeartbeat(row)
 	if err != nil {
 		return candidate.recordMalformedRow(err)
@@ -79,6 +79,12 @@
 	if err != nil && !code.Is(err, code.RowMissing) {
 		return candidate.recordFailure(err, "take")
 	}
+	if epoch.Version != 0 && heartbeat.Version == 0 && !candidate.heartbeatMissing {
+		// Another process may have written both rows between the two reads.
+		candidate.heartbeatMissing = true
+		return candidate.lease.options.renewalInterval()
+	}
+	candidate.heartbeatMissing = false
 	last, err := lastEpoch(epoch, heartbeat)
 	if err != nil {
 		return candidate.recordMalformedRow(err)
