Usage windows are collected by query

Cause: a window was left alone for two heartbeat intervals.

Instances answer for ended runs of their neighbours too, whose last heartbeats may not have left the data centre.

--- a/internal/coordination/tally/report.go
+++ b/internal/coordination/tally/report.go
@@ -30,35 +30,44 @@
 	ReportUsage(ctx context.Context, holder string, fencingToken uint64, report site.UsageReport) error
 }
 
+// Collector gets the counts of ended windows from the other instances.
+type Collector interface {
+	// Collect asks the instances whose counts of a window are not complete yet,
+	// and reports whether those of all live instances are. It does not wait.
+	Collect(window int64) bool
+}
+
 const (
-	// A window is summed up minSettleTime after its end, or settleHeartbeats
-	// heartbeat intervals if that is longer: one heartbeat may get lost.
-	minSettleTime    = 1200 * time.Millisecond
-	settleHeartbeats = 2
+	// settleTime is how long after its end a window is left alone: the clocks of
+	// instances differ a little.
+	settleTime = 1200 * time.Millisecond
+	// collectShare is the part of the time until a report is due within which
+	// the counts of all instances are waited for. Then the window is reported
+	// without those that do not answer.
+	collectShare = 0.4
 )
 
 // Reporter reports the windows that have ended. It writes the counts of a window
 // to a row of the store under the lease before it sends them, so that a successor
 // sends the same counts.
 type Reporter struct {
-	meter             *Meter
-	store             Store
-	sender            Sender
-	instance          string
-	maxReportDelay    time.Duration
-	heartbeatInterval func() time.Duration // longest time between heartbeats
-	logger            zerolog.Logger
+	meter          *Meter
+	store          Store
+	sender         Sender
+	collector      Collector
+	instance       string
+	maxReportDelay time.Duration
+	logger         zerolog.Logger
 
 	nextWindow int64                      // first window that is not reported yet
 	unsent     map[int64]map[string]int64 // counts, by window, that are stored and not sent yet
 }
 
 // NewReporter returns a reporter for an instance. MaxReportDelay is how long after
-// the end of a window its report is still of use. HeartbeatInterval returns the
-// longest time between heartbeats.
-func NewReporter(meter *Meter, store Store, sender Sender, instance string, maxReportDelay time.Duration, heartbeatInterval func() time.Duration, logger zerolog.Logger) *Reporter {
+// the end of a window its report is still of use.
+func NewReporter(meter *Meter, store Store, sender Sender, collector Collector, instance string, maxReportDelay time.Duration, logger zerolog.Logger) *Reporter {
 	return &Reporter{
-		meter: meter, store: store, sender: sender, instance: instance, maxReportDelay: maxReportDelay, heartbeatInterval: heartbeatInterval,
+		meter: meter, store: store, sender: sender, collector: collector, instance: instance, maxReportDelay: maxReportDelay,
 		logger: logger.With().Str("part", "usage").Logger(), unsent: map[int64]map[string]int64{},
 	}
 }
@@ -69,17 +78,26 @@
 // it is called before each call to the store or the platform. Only one
 // goroutine may call it.
 func (reporter *Reporter) ReportEndedWindows(ctx context.Context, now time.Time, currentGrant func() (lease.Grant, bool)) {
-	settleTime := max(minSettleTime, settleHeartbeats*reporter.heartbeatInterval())
 	lastWindow := reporter.meter.WindowAt(now.Add(-settleTime)) - 1
 	firstWindow := reporter.meter.WindowAt(now.Add(-reporter.maxReportDelay - settleTime))
 	reporter.nextWindow = max(reporter.nextWindow, firstWindow)
 	for ; reporter.nextWindow <= lastWindow; reporter.nextWindow++ {
-		if !reporter.report(ctx, reporter.nextWindow, currentGrant) {
+		if !reporter.isSettled(reporter.nextWindow, now) || !reporter.report(ctx, reporter.nextWindow, currentGrant) {
 			return
 		}
 	}
 }
 
+// isSettled reports whether the counts of a window are stored, or complete, or
+// not waited for any longer.
+func (reporter *Reporter) isSettled(window int64, now time.Time) bool {
+	if _, stored := reporter.unsent[window]; stored {
+		return true
+	}
+	collectUntil := reporter.meter.WindowEnd(window).Add(time.Duration(collectShare * float64(reporter.maxReportDelay)))
+	return reporter.collector.Collect(window) || !now.Before(collectUntil)
+}
+
 // Reset clears the record of reported windows. It is called when the lease has
 // been acquired: another holder may have reported windows since.
 func (reporter *Reporter) Reset() {
--- a/internal/coordination/tally/tally.go
+++ b/internal/coordination/tally/tally.go
@@ -27,6 +27,7 @@
 	remoteCounts map[InstanceRun]map[int64]map[string]int64
 	lastContact  map[InstanceRun]time.Time
 	clockOffsets map[InstanceRun]time.Duration
+	collected    map[int64]map[string]bool // instances whose counts of a window are complete here
 }
 
 // InstanceRun identifies one run of an instance: a restart begins new counts.
@@ -35,6 +36,13 @@
 	BootID   uint64
 }
 
+// RunCounts holds the counts of one run of an instance in one window.
+type RunCounts struct {
+	Instance string           `cbor:"1,keyasint"`
+	BootID   uint64           `cbor:"2,keyasint"`
+	Teams    map[string]int64 `cbor:"3,keyasint,omitempty"`
+}
+
 // WindowCounts holds the number of requests of each team in one window.
 type WindowCounts struct {
 	Window int64            `cbor:"1,keyasint"`
@@ -49,6 +57,7 @@
 		remoteCounts: map[InstanceRun]map[int64]map[string]int64{},
 		lastContact:  map[InstanceRun]time.Time{},
 		clockOffsets: map[InstanceRun]time.Duration{},
+		collected:    map[int64]map[string]bool{},
 	}
 }
 
@@ -82,11 +91,7 @@
 	defer meter.mutex.Unlock()
 	snapshot := make([]WindowCounts, 0, len(meter.localCounts))
 	for window, teams := range meter.localCounts {
-		copied := make(map[string]int64, len(teams))
-		for team, count := range teams {
-			copied[team] = count
-		}
-		snapshot = append(snapshot, WindowCounts{Window: window, Teams: copied})
+		snapshot = append(snapshot, WindowCounts{Window: window, Teams: copyCounts(teams)})
 	}
 	return snapshot
 }
@@ -121,7 +126,7 @@
 	}
 }
 
-func evictOldWindows(windows map[int64]map[string]int64, newest int64) {
+func evictOldWindows[Counts any](windows map[int64]Counts, newest int64) {
 	for window := range windows {
 		if window < newest-retainedWindows {
 			delete(windows, window)
--- a/internal/coordination/tally/tally_test.go
+++ b/internal/coordination/tally/tally_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -106,10 +109,14 @@
 }
 
 func newReporter(meter *tally.Meter, store *fakeStore, sender *fakeSender) *tally.Reporter {
-	heartbeatInterval := func() time.Duration { return 100 * time.Millisecond }
-	return tally.NewReporter(meter, store, sender, "a", 10*time.Second, heartbeatInterval, zerolog.Nop())
+	return tally.NewReporter(meter, store, sender, fakeCollector(func(int64) bool { return true }), "a", 10*time.Second, zerolog.Nop())
 }
 
+// fakeCollector reports whether the counts of a window are complete.
+type fakeCollector func(window int64) bool
+
+func (collector fakeCollector) Collect(window int64) bool { return collector(window) }
+
 func currentGrant() (lease.Grant, bool) { return lease.Grant{Epoch: 7, Key: "epoch", Version: 1}, true }
 
 // A window is reported after its settle time and only once.
@@ -172,3 +179,68 @@
 		t.Errorf("reports = %v, stored rows = %v, want none", sender.reports, store.values)
 	}
 }
+
+// At 195 instances, heartbeats between data centres are 5 s apart. A window that
+// waits for two of them is reported when its 10 s are over. Windows wait for the
+// answers of all instances instead, and not for long for one that does not
+// answer.
+func TestReportsWindowOnceAllInstancesAnswered(t *testing.T) {
+	meter, store, sender := tally.New(window), &fakeStore{values: map[string][]byte{}}, &fakeSender{}
+	meter.CountRequest("press", windowStart)
+	number := meter.WindowAt(windowStart)
+	end := meter.WindowEnd(number)
+	complete := false
+	collector := fakeCollector(func(asked int64) bool { return asked != number || complete })
+	reporter := tally.NewReporter(meter, store, sender, collector, "a", 10*time.Second, zerolog.Nop())
+	reported := func() bool {
+		return slices.ContainsFunc(sender.reports, func(report site.UsageReport) bool { return report.Window == number })
+	}
+	reporter.ReportEndedWindows(t.Context(), end.Add(2*time.Second), currentGrant)
+	if reported() {
+		t.Error("window reported before the answers are there")
+	}
+	complete = true
+	reporter.ReportEndedWindows(t.Context(), end.Add(2*time.Second), currentGrant)
+	if !reported() {
+		t.Error("window not reported 2 s after its end, with all answers")
+	}
+	number, complete = number+1, false
+	reporter.ReportEndedWindows(t.Context(), end.Add(window+4*time.Second), currentGrant)
+	if !reported() {
+		t.Error("window not reported 4 s after its end, without an answer")
+	}
+}
+
+// An instance is killed right after it counted requests. Its last heartbeat has
+// reached its neighbours, but not yet the holder of the duty in another data
+// centre: the neighbours' answers must carry these counts, once.
+func TestNeighboursReturnCountsOfKilledInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		number := tally.New(window).WindowAt(windowStart)
+		killed, holder := tally.New(window), tally.New(window)
+		neighbours := []*tally.Meter{tally.New(window), tally.New(window)}
+		killed.CountRequest("press", windowStart)
+		for _, neighbour := range neighbours {
+			neighbour.Merge(secondRun("killed"), killed.Snapshot())
+			neighbour.Merge(secondRun("far"), killed.Snapshot())
+			neighbour.CountRequest("council", windowStart)
+		}
+		time.Sleep(2 * time.Second)
+		isLocal := func(instance string) bool { return instance == "killed" }
+		for i, neighbour := range neighbours {
+			name := fmt.Sprint("neighbour", i)
+			counts := neighbour.CountsOf(number, secondRun(name), isLocal)
+			if holder.IsCollected(name, number) {
+				t.Errorf("IsCollected(%q) before the answer = true", name)
+			}
+			holder.MergeCollected(name, number, counts)
+			holder.MergeCollected(name, number, counts) // the answer arrives twice
+			if !holder.IsCollected(name, number) {
+				t.Errorf("IsCollected(%q) after the answer = false", name)
+			}
+		}
+		if sums := holder.Sum(number); sums["press"] != 1 || sums["council"] != 2 {
+			t.Errorf("holder.Sum() = %v, want press 1 and council 2", sums)
+		}
+	})
+}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -189,13 +189,21 @@
 	mesh.broadcastNext = true
 }
 
-// MaxInterval returns the longest time between two heartbeats to a live
-// instance.
-func (mesh *Mesh) MaxInterval() time.Duration {
+// IsLocal reports whether an instance is known to be in the same data centre.
+func (mesh *Mesh) IsLocal(instance string) bool {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
-	local, remote := mesh.intervals()
-	return max(local, remote)
+	member, ok := mesh.members[instance]
+	return ok && member.DataCenter == mesh.dataCenter
+}
+
+// Send sends one datagram other than a heartbeat. It may get lost.
+func (mesh *Mesh) Send(datagram []byte, to netip.AddrPort) {
+	if len(datagram) > maxDatagramBytes {
+		mesh.logger.Error().Int("bytes", len(datagram)).Msg("message exceeds the datagram limit; not sent")
+		return
+	}
+	_, _ = mesh.conn.WriteToUDPAddrPort(datagram, to)
 }
 
 // intervals returns the times between heartbeats to instances in the same data
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -25,6 +25,10 @@
 	Usage           []tally.WindowCounts `cbor:"5,keyasint,omitempty"`
 	StageChangesMS  map[string]int64     `cbor:"7,keyasint,omitempty"` // remaining time without requests, by ID of the engine that changes its stage
 	ClockOffsetNS   int64                `cbor:"6,keyasint,omitempty"` // from the store's monotonic clock to the time of day, 0 if unknown
+
+	// A message with one of these is no heartbeat.
+	UsageQuery  *usageQuery  `cbor:"9,keyasint,omitempty"`
+	UsageAnswer *usageAnswer `cbor:"10,keyasint,omitempty"`
 }
 
 func (node *Node) instanceRun() tally.InstanceRun {
@@ -79,6 +83,14 @@
 	if message.Instance == node.settings.Instance {
 		return
 	}
+	if message.UsageQuery != nil {
+		node.answerUsageQuery(message.UsageQuery, from)
+		return
+	}
+	if message.UsageAnswer != nil {
+		node.meter.MergeCollected(message.Instance, message.UsageAnswer.Window, message.UsageAnswer.Counts)
+		return
+	}
 	node.mesh.Add(mesh.Member{Instance: message.Instance, DataCenter: message.DataCenter, Address: from})
 	node.mesh.RecordHeartbeat(message.Instance)
 	node.pauseEngines(message.StageChangesMS)
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -166,8 +166,8 @@
 		lease.WithRegisterer(node.registry), lease.WithStandby(node.isStandby))
 	node.duties = duty.New(duty.Config{
 		Instance: node.settings.Instance, Lease: node.lease, Platform: node.control,
-		Reporter: tally.NewReporter(node.meter, node.store, node.control, node.settings.Instance,
-			node.settings.Bounds.UsageReportDeadline, node.mesh.MaxInterval, node.logger),
+		Reporter: tally.NewReporter(node.meter, node.store, node.control, node, node.settings.Instance,
+			node.settings.Bounds.UsageReportDeadline, node.logger),
 		Snapshot: node.snapshot, Duties: node.settings.Duties, AlternationPeriod: node.settings.Bounds.LeaseDuration, Logger: node.logger,
 	})
 	return node
