--- a/internal/coordination/duty/changes.go
+++ b/internal/coordination/duty/changes.go
@@ -29,6 +29,25 @@
 	changes.entries[change.Target.ID] = pendingChange{stage: change.Stage, expiresAt: time.Now().Add(timeout)}
 }
 
+// removeCompleted removes the changes of engines that are listed with their new
+// stage, or not at all.
+func (changes *pendingChanges) removeCompleted(targets []site.Target) {
+	changes.mutex.Lock()
+	defer changes.mutex.Unlock()
+	if len(changes.entries) == 0 {
+		return
+	}
+	listed := make(map[string]site.Stage, len(targets))
+	for _, target := range targets {
+		listed[target.ID] = target.Stage
+	}
+	for id, change := range changes.entries {
+		if stage, ok := listed[id]; !ok || stage == change.stage {
+			delete(changes.entries, id)
+		}
+	}
+}
+
 // stages returns the stage that each changing engine changes to, and removes
 // the entries whose time is up.
 func (changes *pendingChanges) stages(now time.Time) map[string]site.Stage {
--- a/internal/coordination/duty/duty.go
+++ b/internal/coordination/duty/duty.go
@@ -24,6 +24,9 @@
 	// stage, before another order goes to it: the engine's row in the platform's
 	// table is rewritten every 1.2 s.
 	stageReportDelay = 2500 * time.Millisecond
+	// maxRunTime is how long the requests that run at an engine may take to end
+	// before it changes its stage. Until then it takes no others.
+	maxRunTime = 12 * time.Second
 	// maxChangingShare limits the part of the engines that change their stage at
 	// the same time while requests are served.
 	maxChangingShare = 0.34
--- a/internal/coordination/duty/duty_test.go
+++ b/internal/coordination/duty/duty_test.go
@@ -159,6 +159,34 @@
 	})
 }
 
+// An engine finishes the requests that run there before it changes its stage,
+// such as answers of 10 s, and refuses all others meanwhile. It has to be left
+// alone for that long, and no longer than until its row shows the new stage.
+func TestChangingEngineIsLeftAloneWhileRequestsEnd(t *testing.T) {
+	fakeLease, platform := &fakeLease{}, &fakePlatform{status: site.EngineStatus{Stage: site.Prefill}}
+	fakeLease.epoch.Store(1)
+	engines := []site.Target{newEngine("e1", site.Prefill), newEngine("e2", site.Prefill), newEngine("e3", site.Prefill)}
+	var listed atomic.Pointer[[]site.Target]
+	listed.Store(&engines)
+	snapshot := func() duty.Snapshot { return newSnapshot(*listed.Load()...)() }
+	runDuties(t, fakeLease, platform, &fakeReporter{}, snapshot, func(runner *duty.Runner) {
+		time.Sleep(12 * time.Second)
+		if pending := runner.PendingStageChanges(); pending["e1"] == 0 {
+			t.Errorf("PendingStageChanges() 12 s after the order to e1 = %v, want e1", pending)
+		}
+		if orders := platform.recorded(); len(orders) != 1 {
+			t.Errorf("orders = %v, want one to e1", orders)
+		}
+		changed := slices.Clone(engines)
+		changed[0].Stage = site.Decode
+		listed.Store(&changed)
+		time.Sleep(time.Second)
+		if pending := runner.PendingStageChanges(); len(pending) != 0 {
+			t.Errorf("PendingStageChanges() once e1 is listed as changed = %v, want none", pending)
+		}
+	})
+}
+
 func TestBusyEngineGetsNoOrder(t *testing.T) {
 	fakeLease, platform := &fakeLease{}, &fakePlatform{status: site.EngineStatus{Stage: site.Prefill, OrderInProgress: true}}
 	fakeLease.epoch.Store(1)
--- a/internal/coordination/duty/order.go
+++ b/internal/coordination/duty/order.go
@@ -81,6 +81,7 @@
 	if snapshot.NoRequestsYet {
 		maxChanging = engines
 	}
+	runner.pending.removeCompleted(snapshot.Targets)
 	changing := runner.pending.stages(now)
 	for _, change := range shape.PlanStageChanges(service, snapshot.Targets, changing, demand) {
 		if len(changing) >= maxChanging {
@@ -103,7 +104,9 @@
 // orderStage fetches an engine's status and orders the change. The order
 // carries the number of orders that the engine must have accepted before, so
 // that an order that is carried out late cannot undo a newer one. An engine
-// that is busy or already at the stage gets no order for stageReportDelay.
+// that is busy or already at the stage gets no order for stageReportDelay. One
+// that has accepted the order is left alone until the requests that run there
+// have ended and it has changed, or the list of targets shows the new stage.
 func (runner *Runner) orderStage(ctx context.Context, change shape.StageChange, demand float64, stageChangeTime time.Duration) {
 	status, err := runner.platform.FetchEngineStatus(ctx, change.Target)
 	if err != nil {
@@ -125,6 +128,8 @@
 	event := runner.logger.Info()
 	if err != nil {
 		event = runner.logger.Warn().Err(err)
+	} else {
+		runner.pending.add(change, maxRunTime+stageChangeTime+stageReportDelay)
 	}
 	event.Str("target", change.Target.ID).Stringer("stage", change.Stage).Float64("decode-demand", demand).Int64("expected", status.OrdersAccepted).
 		Uint64("fence", grant.Epoch).Msg("stage ordered")
--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -46,6 +46,7 @@
 	stageChangeUntil time.Time // while the engine changes its stage
 	stageChangedAt   time.Time // when the target list showed another stage
 	connectFailures  int       // in a row
+	refusals         int       // requests in a row that the target refused to run
 	firstSeen        time.Time // when the target was first listed here
 }
 
@@ -202,6 +203,39 @@
 	}
 }
 
+const (
+	initialRefusalPause  = 500 * time.Millisecond // after the first refusal
+	maxRefusalsDoublings = 2                      // limits the pause to 2 s
+)
+
+// MarkRefused records that a target refused to run a request, since it is full
+// or changes its stage, and keeps new work from it for a time that doubles with
+// each refusal in a row.
+func (scheduler *Scheduler) MarkRefused(id string) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	state, ok := scheduler.targets[id]
+	if !ok {
+		return
+	}
+	now := time.Now()
+	if now.Before(state.pausedUntil) {
+		return // sent before an earlier refusal was known
+	}
+	state.pausedUntil = now.Add(initialRefusalPause << min(state.refusals, maxRefusalsDoublings))
+	state.refusals++
+}
+
+// MarkAccepted records that a target runs a request, which resets the pause
+// after refusals.
+func (scheduler *Scheduler) MarkAccepted(id string) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	if state, ok := scheduler.targets[id]; ok {
+		state.refusals = 0
+	}
+}
+
 const (
 	// manyInstancesThreshold is the number of instances beyond which loads
 	// reported by peers are stale.
--- a/internal/coordination/place/place_test.go
+++ b/internal/coordination/place/place_test.go
@@ -248,3 +248,32 @@
 		}
 	})
 }
+
+// An engine that changes its stage refuses requests for as long as others run
+// there. Seventy instances that ask it again each half second fill their retry
+// budgets with it, so that they ask less and less often.
+func TestRefusingEngineIsAskedLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := newScheduler(newEngine("d1", "tas-a", site.Decode))
+		refusals := 0
+		for range 1_000 {
+			if assignment, ok := scheduler.AssignDecode("llm", newPrompt("x", 1_000), "tas-a", nil); ok {
+				scheduler.Release(&assignment)
+				scheduler.MarkRefused("d1")
+				scheduler.MarkRefused("d1") // another one that was under way
+				refusals++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if refusals < 5 || refusals > 7 {
+			t.Errorf("%d requests went to a refusing engine in 10 s, want 5 to 7", refusals)
+		}
+		scheduler.MarkAccepted("d1")
+		time.Sleep(2 * time.Second)
+		scheduler.MarkRefused("d1")
+		time.Sleep(600 * time.Millisecond)
+		if _, ok := scheduler.AssignDecode("llm", newPrompt("x", 1_000), "tas-a", nil); !ok {
+			t.Error("no request goes to the engine 600 ms after its first refusal in a row, want one")
+		}
+	})
+}
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -19,9 +19,6 @@
 	prefillTimeoutMargin = 300 * time.Millisecond
 	// maxPrefills bounds the engines to which one prompt is sent for prefill.
 	maxPrefills = 2
-	// stageChangePause keeps requests from an engine that is changing its
-	// stage.
-	stageChangePause = 500 * time.Millisecond
 	// minRemaining is the time before the deadline from which a generation is
 	// not sent to another engine.
 	minRemaining = 50 * time.Millisecond
@@ -188,12 +185,13 @@
 	if err != nil || response.Status != http.StatusOK {
 		exchange.recordCall(target, "prefill", "refused", started)
 		if info.NotRun {
-			proxy.scheduler.PauseTarget(target.ID, refusalPause(info))
+			proxy.pauseRefusing(target, info)
 		} else {
 			proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 		}
 		return nil, outcomeNotRun
 	}
+	proxy.scheduler.MarkAccepted(target.ID)
 	handle, err := proxy.codec.ParseKVHandle(target.Address, body)
 	if err != nil {
 		exchange.recordCall(target, "prefill", "broken", started)
@@ -208,13 +206,13 @@
 	return handle, outcomeSucceeded
 }
 
-// refusalPause returns how long an engine gets no requests after it refused to
-// run one.
-func refusalPause(info site.ResponseInfo) time.Duration {
+// pauseRefusing keeps requests from an engine that refused to run one.
+func (proxy *Proxy) pauseRefusing(target site.Target, info site.ResponseInfo) {
 	if info.Misdirected {
-		return misdirectedPause
+		proxy.scheduler.PauseTarget(target.ID, misdirectedPause)
+		return
 	}
-	return stageChangePause
+	proxy.scheduler.MarkRefused(target.ID)
 }
 
 // decode has one engine decode, and forwards the events to the caller.
@@ -244,9 +242,10 @@
 		discard(response)
 		exchange.releaseHandle(source.handle)
 		exchange.recordCall(assignment.Target, "decode", "not-run", started)
-		proxy.scheduler.PauseTarget(assignment.Target.ID, refusalPause(info))
+		proxy.pauseRefusing(assignment.Target, info)
 		return outcomeNotRun
 	}
+	proxy.scheduler.MarkAccepted(assignment.Target.ID)
 	exchange.runs++
 	exchange.countUsage()
 	if response.Status != http.StatusOK {
