Copies of shared parts cost what they evict

Fetching now costs as much as reading the fetched tokens, on top of the transfer: a prompt waits that much longer for the engine that has its part.

--- a/internal/coordination/place/fetch_test.go
+++ b/internal/coordination/place/fetch_test.go
@@ -149,3 +149,33 @@
 		}
 	})
 }
+
+// A copy of a shared part evicts others, which are then prefilled again. In a
+// burst of many shared parts the copies would fill all caches, so that a prompt
+// waits for the engine that has its part cached, unless that takes longer than
+// it saves.
+func TestCopiesAreMadeOnlyIfHolderIsBusyForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := newScheduler(newEngine("p1", "tas-a", site.Prefill), newEngine("p2", "tas-a", site.Prefill))
+		first := mustBegin(t, scheduler, newPrompt("dossier", 16_000))
+		time.Sleep(time.Second)
+		scheduler.EndPrefill(&first, false)
+		other := "p1"
+		if first.Target.ID == "p1" {
+			other = "p2"
+		}
+		next := &site.Prompt{Model: "m", Tokens: 16_000, Parts: []site.Part{{ID: "dossier", Tokens: 12_000}, {ID: "own", Tokens: 4_000}}}
+		for i := range 4 {
+			prefill, _ := scheduler.ChoosePrefill("llm", next, 0, nil)
+			want := first.Target.ID
+			if i > 1 {
+				want = other
+			}
+			if prefill.Target.ID != want || (want == other) != (prefill.FetchTokens > 0) {
+				t.Errorf("with %d prefills of 190 ms at the holder: prefill at %s with %d tokens fetched, want %s", i, prefill.Target.ID, prefill.FetchTokens, want)
+			}
+			work, _ := scheduler.ChoosePrefill("llm", newPrompt(fmt.Sprint("busy", i), 9_000), 0, []string{other})
+			scheduler.BeginPrefill(&work)
+		}
+	})
+}
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -24,6 +24,7 @@
 	decodeStepMS             = 5.0   // per token of an otherwise empty engine
 	maxMemoryShare           = 0.85  // of an engine's memory, for planning
 	ownerDiscountShare       = 0.5   // of the prefill work of the shared parts, by which a prompt's owner is preferred
+	copyPenaltyShare         = 1.0   // of the prefill work of fetched tokens; a copy takes the place of parts that have to be prefilled again
 	slowdownGain             = 0.2   // weight of one observation in the smoothed slowdown
 	minSlowdown              = 0.5
 	maxSlowdown              = 20.0
@@ -76,6 +77,7 @@
 			cost -= ownerDiscountShare * float64(prompt.SharedTokens()) / prefillTokensPerMS
 		} else {
 			cost += scheduler.staleLoadPenaltyMS(state)
+			cost += copyPenaltyShare * float64(max(0, source.tokens-cached)) / prefillTokensPerMS
 		}
 		cost += state.promptSizePenaltyMS(work)
 		if best == nil || cost < bestCost {
