--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -228,7 +228,7 @@
 		store := memory.New()
 		store.SetFault(func(call memory.Call) memory.Fault {
 			switch {
-			case call.Client == "slow" && call.Method == "get" && call.Key == epochKey:
+			case call.Client == "slow" && call.Key == epochKey:
 				return memory.Fault{Delay: 100 * time.Millisecond}
 			case call.Client == "first":
 				return memory.Fault{Delay: 20 * time.Millisecond}
