--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -24,7 +24,7 @@
 	decodeStepMS             = 5.0   // per token of an otherwise empty engine
 	maxMemoryShare           = 0.85  // of an engine's memory, for planning
 	ownerDiscountShare       = 0.5   // of the prefill work of the shared parts, by which a prompt's owner is preferred
-	copyPenaltyShare         = 1.0   // of the prefill work of fetched tokens; a copy takes the place of parts that have to be prefilled again
+	copyPenaltyShare         = 1.0   // of the prefill work of the fetched tokens, since a copy evicts other parts
 	slowdownGain             = 0.2   // weight of one observation in the smoothed slowdown
 	minSlowdown              = 0.5
 	maxSlowdown              = 20.0
