--- a/internal/coordination/duty/order.go
+++ b/internal/coordination/duty/order.go
@@ -92,6 +92,8 @@
 	}
 }
 
+// peakDemand records the demand for the decode engines of a service and returns
+// its recent peak.
 func (runner *Runner) peakDemand(service string, demand float64, now time.Time) float64 {
 	tracker, ok := runner.demand[service]
 	if !ok {
