--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -138,7 +138,7 @@
 	case err != nil || (response.Status < http.StatusMultipleChoices && !exchange.isAuthentic(response, info)):
 		observation.Outcome = health.Failure
 		exchange.proxy.reportHealth(observation)
-		exchange.recordCall(assignment.Target, "call", "broken", started)
+		exchange.recordFailedCall(assignment.Target, "call", "broken", err, started)
 		return outcomeFailed, nil
 	case response.Status >= http.StatusInternalServerError:
 		observation.Outcome = health.Failure
@@ -161,12 +161,12 @@
 // is not counted as a failure of the target.
 func (exchange *exchange) classifyNoResponse(ctx context.Context, target site.Target, err error, started time.Time) callOutcome {
 	if !exchange.mayHaveReached(target, err) {
-		exchange.recordCall(target, "call", "unreachable", started)
+		exchange.recordFailedCall(target, "call", "unreachable", err, started)
 		return outcomeUnsent
 	}
 	exchange.runs++
 	exchange.countUsage()
-	exchange.recordCall(target, "call", "no-answer", started)
+	exchange.recordFailedCall(target, "call", "no-answer", err, started)
 	if ctx.Err() == nil || exchange.remaining() <= 0 {
 		exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 	}
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -6,7 +6,9 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"mangopier.example/mangopier/internal/protocol/code"
@@ -51,6 +53,7 @@
 	target  string
 	stage   string
 	outcome string
+	cause   string // why no complete response arrived, empty if one did
 	took    time.Duration
 }
 
@@ -149,9 +152,40 @@
 
 // recordCall keeps a call for the log line and the metrics.
 func (exchange *exchange) recordCall(target site.Target, stage, outcome string, started time.Time) {
+	exchange.recordFailedCall(target, stage, outcome, nil, started)
+}
+
+// recordFailedCall keeps a call that ended with err for the log line and the
+// metrics.
+func (exchange *exchange) recordFailedCall(target site.Target, stage, outcome string, err error, started time.Time) {
 	const maxRecorded = 8
 	if len(exchange.calls) < maxRecorded {
-		exchange.calls = append(exchange.calls, targetCall{target: target.ID, stage: stage, outcome: outcome, took: time.Since(started)})
+		exchange.calls = append(exchange.calls, targetCall{
+			target: target.ID, stage: stage, outcome: outcome, cause: connectionCause(err), took: time.Since(started),
+		})
+	}
+}
+
+// connectionCause names the end of the connection that err tells of, for the log
+// line. It is empty for nil and for errors of no connection.
+func connectionCause(err error) string {
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(err, syscall.ETIMEDOUT): // the kernel gave the connection up
+		return "unacknowledged"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return "reset"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "closed"
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
+		return "timeout"
+	case errors.Is(err, context.Canceled):
+		return "canceled"
+	default:
+		return ""
 	}
 }
 
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -175,10 +175,10 @@
 	if err != nil {
 		proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 		if !exchange.mayHaveReached(target, err) {
-			exchange.recordCall(target, "prefill", "unreachable", started)
+			exchange.recordFailedCall(target, "prefill", "unreachable", err, started)
 			return nil, outcomeUnsent
 		}
-		exchange.recordCall(target, "prefill", "no-answer", started)
+		exchange.recordFailedCall(target, "prefill", "no-answer", err, started)
 		return nil, outcomeNotRun
 	}
 	body, err := readBody(response)
@@ -262,7 +262,7 @@
 	if outcome != outcomeSucceeded {
 		observation.Outcome = health.Failure
 	}
-	exchange.recordCall(assignment.Target, "decode", stream.endReason, started)
+	exchange.recordFailedCall(assignment.Target, "decode", stream.endReason, stream.endErr, started)
 	if stream.callerGone {
 		exchange.refuse(code.Errorf(code.CallerGone, "the caller closed the connection"))
 	}
@@ -289,11 +289,11 @@
 // response.
 func (exchange *exchange) classifyNoStream(target site.Target, err error, started time.Time) callOutcome {
 	if !exchange.mayHaveReached(target, err) {
-		exchange.recordCall(target, "decode", "unreachable", started)
+		exchange.recordFailedCall(target, "decode", "unreachable", err, started)
 		return outcomeUnsent
 	}
 	exchange.runs++
-	exchange.recordCall(target, "decode", "no-answer", started)
+	exchange.recordFailedCall(target, "decode", "no-answer", err, started)
 	exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 	return outcomeMayHaveRun
 }
--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// describeCalls returns stage, target, outcome and duration of each call,
-// separated by spaces.
+// describeCalls returns stage, target, outcome, duration and, if there is one, the
+// cause of each call, separated by spaces.
 func (exchange *exchange) describeCalls() string {
 	var text strings.Builder
 	for i, call := range exchange.calls {
@@ -104,6 +104,9 @@
 			text.WriteByte(' ')
 		}
 		text.WriteString(call.stage + ":" + call.target + ":" + call.outcome + ":" + call.took.Round(time.Millisecond).String())
+		if call.cause != "" {
+			text.WriteString(":" + call.cause)
+		}
 	}
 	return text.String()
 }
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -19,6 +19,7 @@
 	exchange    *exchange
 	lastEventID string // of the last event that the caller has
 	endReason   string // how the last run ended, for the log
+	endErr      error  // of the last run's connection, nil if it ended otherwise
 	callerGone  bool
 	lastEventAt time.Time // when the last events were received
 }
@@ -99,7 +100,7 @@
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0:
 			return stream.complete(response)
 		default:
-			stream.endReason = "broken"
+			stream.endReason, stream.endErr = "broken", err
 			if watchdog.fired.Load() {
 				stream.endReason = "silent"
 			}
