--- a/internal/coordination/place/place_test.go
+++ b/internal/coordination/place/place_test.go
@@ -277,3 +277,16 @@
 		}
 	})
 }
+
+// Guards against a panic in a request whose prompt is prefilled while a manifest
+// removes the engine's service.
+func TestServiceIsRemovedDuringPrefill(t *testing.T) {
+	engine := newEngine("p1", "tas-a", site.Prefill)
+	scheduler := newScheduler(engine)
+	prefill := mustBegin(t, scheduler, newPrompt("dossier", 16_000))
+	scheduler.SetTargets([]site.Target{engine}, map[string]site.Service{})
+	scheduler.EndPrefill(&prefill, true)
+	if _, ok := scheduler.ChoosePrefill("llm", newPrompt("dossier", 16_000), 0, nil); ok {
+		t.Error("ChoosePrefill() found an engine of a service that the manifest does not list")
+	}
+}
