A manifest that drops a service no longer ends prompts being prefilled there

Callers saw their connection end without an answer. SetTargets takes the prefix cache from the targets of a service that the manifest no longer lists; EndPrefill used the cache without looking and panicked, and the server closes the connection of a handler that panics. BeginPrefill and MergeReport look already. TestServiceIsRemovedDuringPrefill failed with 'nil pointer dereference' in prefixCache.touch before.

--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -138,7 +138,7 @@
 		return
 	}
 	state.ownLoad.PrefillMS[prefill.tier] = max(0, state.ownLoad.PrefillMS[prefill.tier]-prefill.WorkMS)
-	if !answered {
+	if !answered || state.cache == nil {
 		return
 	}
 	state.cache.add(prefill.parts, time.Now())
