Connections to targets survive a target that is silent for a moment

A keep-alive probe that is not acknowledged for a second ended the connection: as on Linux, TCP_USER_TIMEOUT (2 s) replaces the count of probes, and the connection had been idle for 2 s when the probe was sent. A stream that waits for its first event, or a kept connection, was lost to a target that is sound and silent for a second; a request written to such a connection ended with 502 or a cut stream.

The user timeout is now the idle time and three probes, 5 s, so that 3 s of silence are survived at any moment. Ruled out: dropping the user timeout, since data that is never acknowledged would then hold a request for many minutes.

--- a/internal/transport/dial/dial.go
+++ b/internal/transport/dial/dial.go
@@ -1,5 +1,6 @@
 // Package dial provides the dialer for outgoing connections. Its connections fail
-// within seconds if the peer no longer acknowledges data or keep-alive probes.
+// within seconds if the peer no longer acknowledges data or keep-alive probes, and
+// survive a peer that is silent for a moment.
 package dial
 
 import (
@@ -13,15 +14,15 @@
 
 const (
 	defaultDialTimeout = 500 * time.Millisecond
-	// unacknowledgedTimeout is how long sent data may stay unacknowledged before
-	// the connection fails. Four retransmissions with the usual 200 ms timer fit
-	// in it.
-	unacknowledgedTimeout = 2 * time.Second
-	// keepAliveIdle and keepAliveInterval detect an idle connection whose peer has
-	// gone within 3 s.
+	// An idle connection is probed after keepAliveIdle, and fails when
+	// keepAliveCount probes in a row were not acknowledged.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 3
+	// unacknowledgedTimeout is how long sent data may stay unacknowledged before
+	// the connection fails. The kernel also applies it to keep-alive probes, in
+	// place of their count, so it must not end before the last of them.
+	unacknowledgedTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 )
 
 // Option configures a dialer.
@@ -32,6 +33,13 @@
 	return func(dialer *net.Dialer) { dialer.Timeout = timeout }
 }
 
+// WithUserTimeout sets how long a peer may acknowledge nothing before the
+// connection fails, 5 s by default. Less than that suits calls that are repeated
+// at once, since a sound peer that is silent for a moment loses its connections.
+func WithUserTimeout(timeout time.Duration) Option {
+	return func(dialer *net.Dialer) { dialer.ControlContext = userTimeoutSetter(timeout) }
+}
+
 // New returns a dialer with connect timeout, TCP keep-alive and user timeout.
 func New(opts ...Option) *net.Dialer {
 	dialer := &net.Dialer{
@@ -39,7 +47,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		ControlContext: setUserTimeout,
+		ControlContext: userTimeoutSetter(unacknowledgedTimeout),
 	}
 	for _, opt := range opts {
 		opt(dialer)
@@ -47,14 +55,17 @@
 	return dialer
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT before the connection is made.
-func setUserTimeout(_ context.Context, _, _ string, conn syscall.RawConn) error {
-	var optionErr error
-	err := conn.Control(func(descriptor uintptr) {
-		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// userTimeoutSetter returns a function that sets TCP_USER_TIMEOUT before the
+// connection is made.
+func userTimeoutSetter(timeout time.Duration) func(context.Context, string, string, syscall.RawConn) error {
+	return func(_ context.Context, _, _ string, conn syscall.RawConn) error {
+		var optionErr error
+		err := conn.Control(func(descriptor uintptr) {
+			optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return optionErr
 	}
-	return optionErr
 }
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -45,8 +45,11 @@
 
 // NewClient returns a client without connections.
 func NewClient(opts ...ClientOption) *Client {
-	const idleTimeout = 10 * time.Second
-	transport := &http.Transport{DialContext: dial.New().DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	const (
+		idleTimeout = 10 * time.Second
+		userTimeout = 2 * time.Second // watches are repeated elsewhere
+	)
+	transport := &http.Transport{DialContext: dial.New(dial.WithUserTimeout(userTimeout)).DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true}
 	for _, opt := range opts {
 		opt(transport)
 	}
