A silent stream is given up only when another engine has taken it over

Callers of resumable streams were cut after the event that they had, or got a 502, once their engine was silent for 0.7 to 1.2 s, although it was sound and would have gone on: the watchdog cancelled the run first, and only then were the retry budget and the other engines asked.

The silent run now goes on while a standby run is started beside it, if the route, the budget and the engines allow one. The standby takes over when its engine has accepted it; when the silent engine goes on first, the standby is dropped. Each stream has one goroutine that decides, so that an event cannot come twice.

Ruled out: a longer timeout, which would only move the silence at which a sound run is cut.

--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -32,6 +32,7 @@
 	outcomeNotRun                        // may be sent to another target
 	outcomeMayHaveRun                    // no response, and the target may have run the request
 	outcomeFailed                        // the target ran the request and failed
+	outcomeOpened                        // the response has begun
 )
 
 // servePlain forwards a request to a plain service.
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"mangopier.example/mangopier/internal/coordination/health"
@@ -12,87 +13,46 @@
 	"mangopier.example/mangopier/internal/transport/back"
 )
 
-const (
-	// prefillTimeoutFactor is how many times the expected delay an engine gets
-	// to prefill a prompt, plus prefillTimeoutMargin, before another is asked.
-	prefillTimeoutFactor = 3.0
-	prefillTimeoutMargin = 300 * time.Millisecond
-	// maxPrefills bounds the engines to which one prompt is sent for prefill.
-	maxPrefills = 2
-	// minRemaining is the time before the deadline from which a generation is
-	// not sent to another engine.
-	minRemaining = 50 * time.Millisecond
-)
+// minRemaining is the time before the deadline from which a generation is not
+// sent to another engine.
+const minRemaining = 50 * time.Millisecond
 
 // serveGeneration forwards a request to model engines: one prefills the prompt,
 // and another fetches its KV cache and decodes.
 func (exchange *exchange) serveGeneration(ctx context.Context) {
 	exchange.proxy.retryBudget(exchange.service.Name).CountRequest()
-	stream := &stream{exchange: exchange, lastEventID: exchange.request.LastEventID}
 	handle, prefiller, err := exchange.prefill(ctx)
 	if err != nil {
 		exchange.refuse(err)
 		return
 	}
-	source := promptSource{handle: handle, prefiller: prefiller.Address}
-	var tried []string
-	for calls := 1; ; calls++ {
-		from := prefiller.DataCenter
-		assignment, ok := exchange.proxy.scheduler.AssignDecode(exchange.service.Name, exchange.request.Prompt, from, tried)
-		if !ok && len(tried) > 0 {
-			tried = nil
-			assignment, ok = exchange.proxy.scheduler.AssignDecode(exchange.service.Name, exchange.request.Prompt, from, nil)
-		}
-		if !ok {
-			exchange.releaseHandle(source.handle)
-			exchange.refuse(exchange.finalError(ctx, time.Second))
-			return
-		}
-		outcome := exchange.decode(ctx, assignment, source, stream)
-		exchange.proxy.scheduler.Release(&assignment)
-		if outcome == outcomeSucceeded {
-			return
-		}
-		// A call that was sent uses up the handle. The next engine fetches what
-		// the prefill engine still has in its prefix cache, and prefills the
-		// rest itself.
-		if outcome != outcomeUnsent {
-			source.handle = nil
-		}
-		tried = append(tried, assignment.Target.ID)
-		if !exchange.canContinue(ctx, outcome, calls) {
-			exchange.releaseHandle(source.handle)
-			exchange.refuse(exchange.finalError(ctx, time.Second))
-			return
-		}
+	generation := &generation{
+		exchange:   exchange,
+		stream:     &stream{exchange: exchange, lastEventID: exchange.request.LastEventID},
+		source:     promptSource{handle: handle, prefiller: prefiller.Address},
+		dataCenter: prefiller.DataCenter,
 	}
-}
-
-// canContinue reports whether a generation may be sent to one more engine, and
-// takes that retry from the service's budget.
-func (exchange *exchange) canContinue(ctx context.Context, outcome callOutcome, calls int) bool {
-	if ctx.Err() != nil || calls >= maxCalls || exchange.remaining() < minRemaining {
-		return false
+	defer generation.stop()
+	if !generation.serve(ctx) {
+		exchange.releaseHandle(generation.source.handle)
+		exchange.refuse(exchange.finalError(ctx, time.Second))
 	}
-	repeatable := outcome == outcomeUnsent || outcome == outcomeNotRun || (exchange.route.Resumable && exchange.runs < exchange.route.MaxAttempts)
-	return repeatable && exchange.spendRetry(outcome)
 }
 
-// finalError returns the error of a request that is not retried. RetryAfter is
-// the retry delay, before jitter, that the caller gets if no target ran the
-// request.
-func (exchange *exchange) finalError(ctx context.Context, retryAfter time.Duration) error {
-	run := code.NotRun
-	if exchange.runs > 0 {
-		run = code.RunUnknown
-	}
-	if err := exchange.contextError(ctx, run); err != nil {
-		return err
-	}
-	if exchange.runs > 0 {
-		return code.Errorf(code.TargetFailed, "no target gave a complete answer")
-	}
-	return exchange.capacityError(code.NoTarget, retryAfter)
+// generation is the decode stage of a request. One run is active, and its events
+// go to the caller. If it is silent, a standby run is started that resumes the
+// stream; the active run goes on until the standby is accepted, since a silent
+// engine may be sound while the other engine may refuse.
+type generation struct {
+	exchange   *exchange
+	stream     *stream
+	source     promptSource
+	dataCenter string   // of the engine that prefilled the prompt
+	tried      []string // engines that failed
+	calls      int
+
+	active  *decodeRun
+	standby *decodeRun // nil for none
 }
 
 // promptSource is where a decode engine fetches the KV cache of a prompt.
@@ -101,201 +61,244 @@
 	prefiller string         // address of the engine that prefilled the prompt, empty if none did
 }
 
-// prefill has an engine prefill the prompt, and returns the handle and that
-// engine. If no engine does, the handle is nil and the decode engine prefills
-// the prompt itself. Errors are those that the caller gets.
-func (exchange *exchange) prefill(ctx context.Context) (*site.KVHandle, site.Target, error) {
-	proxy := exchange.proxy
-	var tried []string
-	for sent := 0; sent < maxPrefills && len(tried) < maxCalls; {
-		prefill, ok := proxy.scheduler.ChoosePrefill(exchange.service.Name, exchange.request.Prompt, exchange.priority(), tried)
-		if !ok {
-			return nil, site.Target{}, nil
-		}
-		exchange.expectedWaitMS, exchange.workMS, exchange.lowerPriorityMS = prefill.WaitMS, prefill.WorkMS, prefill.LowerPriorityMS
-		exchange.cachedTokens, exchange.fetchedTokens = prefill.CachedTokens, prefill.FetchTokens
-		if err := exchange.checkPrefillDelay(&prefill); err != nil && len(tried) == 0 {
-			return nil, site.Target{}, err
-		}
-		proxy.scheduler.BeginPrefill(&prefill)
-		handle, outcome := exchange.prefillAt(ctx, &prefill)
-		proxy.scheduler.EndPrefill(&prefill, outcome == outcomeSucceeded)
+// serve runs the generation until the caller has the answer or an engine's error.
+// It returns false if no engine gave either.
+func (generation *generation) serve(ctx context.Context) bool {
+	for generation.activate(ctx) {
+		outcome := generation.runActive(ctx)
 		if outcome == outcomeSucceeded {
-			return handle, prefill.Target, nil
+			return true
 		}
-		tried = append(tried, prefill.Target.ID)
-		if err := exchange.contextError(ctx, code.NotRun); err != nil {
-			return nil, site.Target{}, err
-		}
-		if outcome != outcomeUnsent {
-			sent++
-		}
-		if !exchange.spendRetry(outcome) {
-			return nil, site.Target{}, exchange.capacityError(code.NoTarget, time.Second)
+		generation.dropActive(outcome)
+		if generation.standby == nil && !generation.mayStart(ctx, outcome) {
+			return false
 		}
 	}
-	return nil, site.Target{}, nil
+	return false
 }
 
-// Callers abandon a stream whose first event does not come within the longest
-// of these: a fixed time, a multiple of the route's latency objective, and a
-// multiple of its maximum gap between events.
-const (
-	minAbandonDelay          = 2 * time.Second
-	abandonDelayPerObjective = 4
-	abandonDelayPerGap       = 8
-)
+// activate makes the standby run the active one, or starts a run at an engine that
+// has not failed, or at any if all have. It returns false if there is none.
+func (generation *generation) activate(ctx context.Context) bool {
+	if generation.standby != nil {
+		generation.active, generation.standby = generation.standby, nil
+		return true
+	}
+	assignment, ok := generation.assign(generation.tried)
+	if !ok && len(generation.tried) > 0 {
+		generation.tried = nil
+		assignment, ok = generation.assign(nil)
+	}
+	if ok {
+		generation.active = generation.start(ctx, assignment, generation.source)
+	}
+	return ok
+}
 
-// checkPrefillDelay returns an error if the prompt is not expected to be
-// prefilled within three quarters of the time that the caller waits.
-func (exchange *exchange) checkPrefillDelay(prefill *place.Prefill) error {
-	route := exchange.route
-	limit := max(minAbandonDelay, abandonDelayPerObjective*route.LatencyObjective, abandonDelayPerGap*route.MaxEventGap)
-	limit = min(limit, exchange.remaining()) * 3 / 4
-	expected := time.Duration(prefill.ExpectedMS() * float64(time.Millisecond))
-	if expected <= limit {
-		return nil
+// assign chooses an engine that is not in except. It returns false if there is
+// none.
+func (generation *generation) assign(except []string) (place.Assignment, bool) {
+	exchange := generation.exchange
+	return exchange.proxy.scheduler.AssignDecode(exchange.service.Name, exchange.request.Prompt, generation.dataCenter, except)
+}
+
+// start starts a run after the last event that the caller has.
+func (generation *generation) start(ctx context.Context, assignment place.Assignment, source promptSource) *decodeRun {
+	generation.calls++
+	return generation.exchange.startRun(ctx, assignment, source, generation.stream.lastEventID)
+}
+
+// mayStart reports whether a run may follow one that ended with outcome, and takes
+// that retry from the service's budget.
+func (generation *generation) mayStart(ctx context.Context, outcome callOutcome) bool {
+	exchange := generation.exchange
+	if ctx.Err() != nil || generation.calls >= maxCalls || exchange.remaining() < minRemaining {
+		return false
 	}
-	return exchange.capacityError(code.TeamOverloaded, expected-limit/2)
+	repeatable := outcome == outcomeUnsent || outcome == outcomeNotRun || (exchange.route.Resumable && exchange.runs < exchange.route.MaxAttempts)
+	return repeatable && exchange.spendRetry(outcome)
 }
 
-// prefillAt has one engine prefill the prompt. A prefill without a response is
-// outcomeNotRun, since repeating it is safe.
-func (exchange *exchange) prefillAt(ctx context.Context, prefill *place.Prefill) (*site.KVHandle, callOutcome) {
-	proxy := exchange.proxy
-	timeout := time.Duration(prefillTimeoutFactor*prefill.ExpectedMS()*float64(time.Millisecond)) + prefillTimeoutMargin
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	started := time.Now()
-	target := prefill.Target
-	response, info, err := exchange.send(ctx, &site.Call{
-		Target: target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name,
-		Priority: exchange.priority(), PrefillOnly: true, KVFetchAddress: prefill.SourceAddress,
-	})
-	if err != nil {
-		proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
-		if !exchange.mayHaveReached(target, err) {
-			exchange.recordFailedCall(target, "prefill", "unreachable", err, started)
-			return nil, outcomeUnsent
+// runActive forwards the events of the active run until it ends, and lets a
+// standby run take over if it is silent.
+func (generation *generation) runActive(ctx context.Context) callOutcome {
+	silence := time.NewTimer(generation.stream.silenceTimeout())
+	defer silence.Stop()
+	for {
+		select {
+		case result, ok := <-generation.active.results:
+			if outcome, ended := generation.handleActive(ctx, result, ok); ended {
+				return outcome
+			}
+			generation.dropStandby()
+		case result := <-generation.standbyResults():
+			generation.handleStandby(result)
+		case <-silence.C:
+			generation.startStandby(ctx)
 		}
-		exchange.recordFailedCall(target, "prefill", "no-answer", err, started)
-		return nil, outcomeNotRun
+		silence.Reset(generation.stream.silenceTimeout())
 	}
-	body, err := readBody(response)
-	if err != nil || response.Status != http.StatusOK {
-		exchange.recordCall(target, "prefill", "refused", started)
-		if info.NotRun {
-			proxy.pauseRefusing(target, info)
-		} else {
-			proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
+}
+
+// handleActive handles a result of the active run, and reports whether the run has
+// ended.
+func (generation *generation) handleActive(ctx context.Context, result runResult, ok bool) (callOutcome, bool) {
+	run, stream := generation.active, generation.stream
+	switch {
+	case !ok:
+		stream.endReason, stream.endErr = "broken", ctx.Err()
+		return generation.end(), true
+	case run.response == nil:
+		outcome := generation.open(run, result)
+		return outcome, outcome != outcomeOpened
+	case len(result.data) > 0:
+		if !stream.forward(run, result.data) {
+			return generation.end(), true
 		}
-		return nil, outcomeNotRun
+		return outcomeOpened, false
+	default:
+		outcome := stream.end(run, result.err)
+		generation.recordEnd(outcome)
+		return outcome, true
 	}
-	proxy.scheduler.MarkAccepted(target.ID)
-	handle, err := proxy.codec.ParseKVHandle(target.Address, body)
-	if err != nil {
-		exchange.recordCall(target, "prefill", "broken", started)
-		proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
-		return nil, outcomeNotRun
+}
+
+// end ends the active run before its response has ended.
+func (generation *generation) end() callOutcome {
+	generation.recordEnd(outcomeFailed)
+	if generation.stream.callerGone {
+		generation.exchange.refuse(code.Errorf(code.CallerGone, "the caller closed the connection"))
 	}
-	proxy.reportHealth(health.Observation{
-		Target: target.ID, TTFB: time.Since(started),
-		ExpectedTTFB: time.Duration(prefill.ExpectedMS() * float64(time.Millisecond)),
-	})
-	exchange.recordCall(target, "prefill", "read", started)
-	return handle, outcomeSucceeded
+	return outcomeFailed
 }
 
-// pauseRefusing keeps requests from an engine that refused to run one.
-func (proxy *Proxy) pauseRefusing(target site.Target, info site.ResponseInfo) {
-	if info.Misdirected {
-		proxy.scheduler.PauseTarget(target.ID, misdirectedPause)
+// recordEnd records how the active run ended for the log, the metrics and the
+// health of its engine.
+func (generation *generation) recordEnd(outcome callOutcome) {
+	exchange, target, stream := generation.exchange, generation.active.assignment.Target, generation.stream
+	exchange.recordFailedCall(target, "decode", stream.endReason, stream.endErr, generation.active.started)
+	if stream.callerGone {
 		return
 	}
-	proxy.scheduler.MarkRefused(target.ID)
+	observation := health.Observation{Target: target.ID}
+	if outcome != outcomeSucceeded {
+		observation.Outcome = health.Failure
+	}
+	exchange.proxy.reportHealth(observation)
 }
 
-// decode has one engine decode, and forwards the events to the caller.
-func (exchange *exchange) decode(ctx context.Context, assignment place.Assignment, source promptSource, stream *stream) callOutcome {
-	proxy := exchange.proxy
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	started := time.Now()
-	watchdog := stream.startWatchdog(cancel)
-	defer watchdog.Stop()
-	call := &site.Call{
-		Target: assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name,
-		Priority: exchange.priority(), KVSource: source.handle, LastEventID: stream.lastEventID,
+// startStandby starts a run that is to resume the stream of the silent active run,
+// if the route, the retry budget and the engines allow it.
+func (generation *generation) startStandby(ctx context.Context) {
+	exchange, active := generation.exchange, generation.active
+	attempts := exchange.runs
+	if active.response == nil {
+		attempts++
 	}
-	if source.handle == nil {
-		call.KVFetchAddress = source.prefiller
-	}
-	response, info, err := exchange.send(ctx, call)
-	if err != nil {
-		outcome := exchange.classifyNoStream(assignment.Target, err, started)
-		if outcome != outcomeUnsent {
-			exchange.releaseHandle(source.handle)
-		}
-		return outcome
+	if generation.standby != nil || !exchange.route.Resumable || attempts >= exchange.route.MaxAttempts ||
+		generation.calls >= maxCalls || exchange.remaining() < minRemaining {
+		return
 	}
-	if info.NotRun {
-		discard(response)
-		exchange.releaseHandle(source.handle)
-		exchange.recordCall(assignment.Target, "decode", "not-run", started)
-		proxy.pauseRefusing(assignment.Target, info)
-		return outcomeNotRun
+	assignment, ok := generation.assign(append(slices.Clone(generation.tried), active.assignment.Target.ID))
+	if !ok {
+		return
 	}
-	proxy.scheduler.MarkAccepted(assignment.Target.ID)
-	exchange.runs++
-	exchange.countUsage()
-	if response.Status != http.StatusOK {
-		return exchange.handleErrorResponse(response, assignment.Target, started)
+	if !exchange.spendRetry(outcomeMayHaveRun) {
+		exchange.proxy.scheduler.Release(&assignment)
+		return
 	}
-	if !exchange.isAuthentic(response, info) {
-		_ = response.Body.Close()
-		exchange.recordCall(assignment.Target, "decode", "broken", started)
-		proxy.reportHealth(health.Observation{Target: assignment.Target.ID, Outcome: health.Failure})
-		return outcomeFailed
+	// The active run uses the handle.
+	generation.standby = generation.start(ctx, assignment, promptSource{prefiller: generation.source.prefiller})
+}
+
+// handleStandby makes the standby run the active one if its engine has accepted
+// it, and ends it otherwise.
+func (generation *generation) handleStandby(result runResult) {
+	exchange, run := generation.exchange, generation.standby
+	if generation.open(run, result) != outcomeOpened {
+		generation.tried = append(generation.tried, run.assignment.Target.ID)
+		generation.standby = nil
+		exchange.endRun(run)
+		return
 	}
-	observation := health.Observation{Target: assignment.Target.ID}
-	outcome := stream.forward(response, watchdog)
-	if outcome != outcomeSucceeded {
-		observation.Outcome = health.Failure
+	if generation.active.response == nil { // it may run
+		exchange.runs++
+		exchange.releaseHandle(generation.active.handle)
 	}
-	exchange.recordFailedCall(assignment.Target, "decode", stream.endReason, stream.endErr, started)
-	if stream.callerGone {
-		exchange.refuse(code.Errorf(code.CallerGone, "the caller closed the connection"))
+	generation.stream.endReason, generation.stream.endErr = "silent", nil
+	generation.recordEnd(outcomeFailed)
+	generation.dropActive(outcomeMayHaveRun)
+	generation.active, generation.standby = run, nil
+}
+
+// open handles the header of a run's response. The outcome is outcomeOpened if its
+// events can be forwarded.
+func (generation *generation) open(run *decodeRun, result runResult) callOutcome {
+	only := run == generation.active && generation.standby == nil
+	outcome := generation.exchange.acceptRun(run, result, only)
+	if outcome == outcomeOpened {
+		run.startReading(result.response)
 	}
-	proxy.reportHealth(observation)
 	return outcome
 }
 
-// handleErrorResponse sends an engine's error to the caller, unless the caller
-// has the header of a response already or the route allows one more run.
-func (exchange *exchange) handleErrorResponse(response *back.Response, target site.Target, started time.Time) callOutcome {
-	body, err := readBody(response)
-	exchange.recordCall(target, "decode", "failed", started)
-	if response.Status >= http.StatusInternalServerError {
-		exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
+// dropActive ends the active run.
+func (generation *generation) dropActive(outcome callOutcome) {
+	exchange, run := generation.exchange, generation.active
+	generation.active = nil
+	generation.tried = append(generation.tried, run.assignment.Target.ID)
+	exchange.endRun(run)
+	// A call that was sent uses up the handle. The next engine fetches what the
+	// prefill engine still has in its prefix cache, and prefills the rest itself.
+	if outcome != outcomeUnsent {
+		generation.source.handle = nil
 	}
-	if err != nil || exchange.headerSent || (exchange.route.Resumable && exchange.runs < exchange.route.MaxAttempts) {
-		return outcomeFailed
+}
+
+// dropStandby ends the standby run, if there is one.
+func (generation *generation) dropStandby() {
+	run := generation.standby
+	if run == nil {
+		return
+	}
+	generation.standby = nil
+	generation.exchange.runs++ // it may run
+	generation.exchange.recordCall(run.assignment.Target, "decode", "dropped", run.started)
+	generation.exchange.endRun(run)
+}
+
+// stop ends all runs.
+func (generation *generation) stop() {
+	generation.dropStandby()
+	if generation.active != nil {
+		generation.exchange.endRun(generation.active)
+		generation.active = nil
 	}
-	exchange.deliver(response, body)
-	return outcomeSucceeded
 }
 
-// classifyNoStream returns the outcome of a decode call that ended without a
-// response.
-func (exchange *exchange) classifyNoStream(target site.Target, err error, started time.Time) callOutcome {
-	if !exchange.mayHaveReached(target, err) {
-		exchange.recordFailedCall(target, "decode", "unreachable", err, started)
-		return outcomeUnsent
+// standbyResults returns the results of the standby run, nil if there is none.
+func (generation *generation) standbyResults() <-chan runResult {
+	if generation.standby == nil {
+		return nil
+	}
+	return generation.standby.results
+}
+
+// finalError returns the error of a request that is not retried. RetryAfter is
+// the retry delay, before jitter, that the caller gets if no target ran the
+// request.
+func (exchange *exchange) finalError(ctx context.Context, retryAfter time.Duration) error {
+	run := code.NotRun
+	if exchange.runs > 0 {
+		run = code.RunUnknown
+	}
+	if err := exchange.contextError(ctx, run); err != nil {
+		return err
+	}
+	if exchange.runs > 0 {
+		return code.Errorf(code.TargetFailed, "no target gave a complete answer")
 	}
-	exchange.runs++
-	exchange.recordFailedCall(target, "decode", "no-answer", err, started)
-	exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
-	return outcomeMayHaveRun
+	return exchange.capacityError(code.NoTarget, retryAfter)
 }
 
 // maxCleanups bounds the calls under way that release prompts. Beyond it, a
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -2,12 +2,10 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"mangopier.example/mangopier/internal/transport/back"
@@ -31,82 +29,47 @@
 	streamBufferBytes = 16 << 10 // of one read
 	maxEventBytes     = 1 << 20
 	// silenceGaps is how many times the route's maximum gap between events a
-	// run may be silent before the stream is resumed at another engine.
+	// run may be silent before another engine is asked to resume the stream.
 	silenceGaps       = 3
 	minSilenceTimeout = 700 * time.Millisecond
 )
 
-// watchdog cancels a run from which nothing is received within its timeout.
-type watchdog struct {
-	timer   *time.Timer // nil if the run is never cancelled
-	timeout time.Duration
-	fired   atomic.Bool
-}
-
-// startWatchdog starts the watchdog of the next run. It cancels the run only if
-// another run may resume the stream.
-func (stream *stream) startWatchdog(cancel context.CancelFunc) *watchdog {
+// silenceTimeout returns how long a run may be silent before another one is
+// started beside it.
+func (stream *stream) silenceTimeout() time.Duration {
 	route := stream.exchange.route
-	watchdog := &watchdog{timeout: max(minSilenceTimeout, silenceGaps*route.MaxEventGap, 2*route.LatencyObjective)}
-	if !route.Resumable || stream.exchange.runs+1 >= route.MaxAttempts {
-		return watchdog
-	}
-	watchdog.timer = time.AfterFunc(watchdog.timeout, func() {
-		watchdog.fired.Store(true)
-		cancel()
-	})
-	return watchdog
+	return max(minSilenceTimeout, silenceGaps*route.MaxEventGap, 2*route.LatencyObjective)
 }
 
-// Reset restarts the timeout, after bytes were received.
-func (watchdog *watchdog) Reset() {
-	if watchdog.timer != nil {
-		watchdog.timer.Reset(watchdog.timeout)
+// forward sends the complete events of a run to the caller, after data was read
+// from its response. It returns false if the stream cannot go on: the caller has
+// gone, or the run sent an event that is too large.
+func (stream *stream) forward(run *decodeRun, data []byte) bool {
+	run.pending = append(run.pending, data...)
+	end := bytes.LastIndex(run.pending, eventSeparator)
+	if end >= 0 {
+		end += len(eventSeparator)
+		if !stream.writeEvents(run.response, run.pending[:end]) {
+			return false
+		}
+		run.pending = append(run.pending[:0], run.pending[end:]...)
 	}
-}
-
-// Stop stops the watchdog.
-func (watchdog *watchdog) Stop() {
-	if watchdog.timer != nil {
-		watchdog.timer.Stop()
+	if len(run.pending) > maxEventBytes {
+		stream.endReason, stream.endErr = "event-too-large", nil
+		return false
 	}
+	return true
 }
 
-// forward sends complete events to the caller until the response ends. An
-// incomplete event at the end is dropped, so that the stream can be resumed
-// after the last complete one.
-func (stream *stream) forward(response *back.Response, watchdog *watchdog) callOutcome {
-	defer func() { _ = response.Body.Close() }()
-	buffer := make([]byte, streamBufferBytes)
-	var pending []byte
-	for {
-		count, err := response.Body.Read(buffer)
-		if count > 0 {
-			watchdog.Reset()
-			pending = append(pending, buffer[:count]...)
-			lastSeparator := bytes.LastIndex(pending, eventSeparator)
-			if lastSeparator >= 0 {
-				if !stream.writeEvents(response, pending[:lastSeparator+len(eventSeparator)]) {
-					return outcomeFailed
-				}
-				pending = append(pending[:0], pending[lastSeparator+len(eventSeparator):]...)
-			}
-		}
-		switch {
-		case err == nil && len(pending) > maxEventBytes:
-			stream.endReason = "event-too-large"
-			return outcomeFailed
-		case err == nil:
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0:
-			return stream.complete(response)
-		default:
-			stream.endReason, stream.endErr = "broken", err
-			if watchdog.fired.Load() {
-				stream.endReason = "silent"
-			}
-			return outcomeFailed
-		}
+// end records how a run's response ended, and completes the stream if the run sent
+// all of it. An incomplete event at the end is dropped, so that the stream can be
+// resumed after the last complete one.
+func (stream *stream) end(run *decodeRun, err error) callOutcome {
+	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(run.pending)) == 0 {
+		return stream.complete(run.response)
 	}
+	stream.endReason, stream.endErr = "broken", err
+	return outcomeFailed
 }
 
 // writeEvents sends complete events to the caller, and returns false if the
@@ -120,7 +83,7 @@
 	}
 	stream.lastEventAt = now
 	if _, err := exchange.w.Write(events); err != nil {
-		stream.endReason, stream.callerGone = "caller-gone", true
+		stream.endReason, stream.endErr, stream.callerGone = "caller-gone", err, true
 		return false
 	}
 	if flusher, ok := exchange.w.(http.Flusher); ok {
@@ -148,7 +111,7 @@
 // complete records that the caller has the whole stream.
 func (stream *stream) complete(response *back.Response) callOutcome {
 	stream.writeHeader(response)
-	stream.endReason = "complete"
+	stream.endReason, stream.endErr = "complete", nil
 	stream.exchange.status = "answered"
 	stream.exchange.code = response.Status
 	return outcomeSucceeded
