A slow safe call goes on while it is repeated at another target

Callers of safe routes got a 502 after 0.6 of the latency objective (60 ms on two sites) although their target would have answered: the call was cancelled first, and only then was it found that the retry budget was empty, that no other target was free, or that the second target failed.

The slow call now goes on beside the second one, and the first successful response is delivered. It still counts as a failure of its target at the timeout, so that a slow target gets fewer calls, and a second call still needs the route's permission and the budget.

--- /dev/null
+++ b/internal/transport/proxy/plain.go
@@ -0,0 +1,206 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"mangopier.example/mangopier/internal/coordination/health"
+	"mangopier.example/mangopier/internal/coordination/place"
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/site"
+	"mangopier.example/mangopier/internal/transport/back"
+)
+
+// plainCalls are the calls of one request to a plain service. If the target of a
+// safe request is slow, another target is called too; the slow call goes on, since
+// it may be the only one that succeeds. The first successful response goes to the
+// caller.
+type plainCalls struct {
+	exchange *exchange
+	inFlight []*plainCall
+	results  chan callResult // one per call
+	tried    []string
+	fallback *fallbackResponse
+}
+
+// plainCall is one call to a target. Its goroutine sends the call and reads the
+// response; the request's own goroutine does all else.
+type plainCall struct {
+	assignment place.Assignment
+	started    time.Time
+	cancel     context.CancelFunc
+	done       chan struct{} // closed when the goroutine has ended
+	slow       bool          // counted as a failure of the target already
+}
+
+// callResult is the end of a call.
+type callResult struct {
+	call     *plainCall
+	response *back.Response // nil if err is set
+	info     site.ResponseInfo
+	body     []byte
+	bodyErr  error // the body is truncated or too large
+	err      error
+}
+
+// start calls the least loaded target that was not called yet. Errors are those
+// that the caller gets if it is the first call.
+func (calls *plainCalls) start(ctx context.Context) error {
+	assignment, err := calls.assign()
+	if err == nil {
+		calls.send(ctx, assignment)
+	}
+	return err
+}
+
+func (calls *plainCalls) assign() (place.Assignment, error) {
+	exchange := calls.exchange
+	assignment, callsPerSlot, ok := exchange.proxy.scheduler.AssignCall(exchange.service.Name, calls.tried)
+	if !ok {
+		return assignment, exchange.capacityError(code.NoTarget, time.Second)
+	}
+	if callsPerSlot >= maxCallsPerSlot {
+		exchange.proxy.scheduler.Release(&assignment)
+		return assignment, exchange.capacityError(code.TeamOverloaded, minRetryAfter)
+	}
+	return assignment, nil
+}
+
+// send sends the request to one target.
+func (calls *plainCalls) send(ctx context.Context, assignment place.Assignment) {
+	exchange := calls.exchange
+	call := &plainCall{assignment: assignment, started: time.Now(), done: make(chan struct{})}
+	ctx, call.cancel = context.WithCancel(ctx)
+	calls.inFlight = append(calls.inFlight, call)
+	calls.tried = append(calls.tried, assignment.Target.ID)
+	sent := &site.Call{
+		Target: assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name, Priority: exchange.priority(),
+	}
+	go func() {
+		defer close(call.done)
+		result := callResult{call: call}
+		result.response, result.info, result.err = exchange.send(ctx, sent)
+		if result.err == nil {
+			result.body, result.bodyErr = readBody(result.response)
+		}
+		calls.results <- result
+	}()
+}
+
+// wait waits for the calls in flight, and calls further targets, until the caller
+// has a response. It returns false if there is none.
+func (calls *plainCalls) wait(ctx context.Context) bool {
+	exchange := calls.exchange
+	slow := time.NewTimer(exchange.callTimeout())
+	defer slow.Stop()
+	for {
+		select {
+		case result := <-calls.results:
+			outcome := calls.finish(ctx, result)
+			switch {
+			case outcome == outcomeSucceeded:
+				return true
+			case len(calls.inFlight) > 0:
+			case !exchange.canRetry(ctx, outcome, len(calls.tried)) || !exchange.spendRetry(outcome) || calls.start(ctx) != nil:
+				return false
+			}
+		case <-slow.C:
+			calls.repeatSlow(ctx)
+		}
+		slow.Reset(exchange.callTimeout())
+	}
+}
+
+// repeatSlow calls another target if the route, the retry budget and the load of
+// the targets allow it. The calls in flight count as failures of their targets,
+// which thus get fewer.
+func (calls *plainCalls) repeatSlow(ctx context.Context) {
+	exchange := calls.exchange
+	if exchange.route.Kind != site.Safe || exchange.runs+len(calls.inFlight) >= exchange.route.MaxAttempts || len(calls.tried) >= maxCalls {
+		return
+	}
+	for _, call := range calls.inFlight {
+		if !call.slow {
+			call.slow = true
+			exchange.proxy.reportHealth(health.Observation{Target: call.assignment.Target.ID, Outcome: health.Failure})
+		}
+	}
+	assignment, err := calls.assign()
+	if err != nil {
+		return
+	}
+	if !exchange.spendRetry(outcomeMayHaveRun) {
+		exchange.proxy.scheduler.Release(&assignment)
+		return
+	}
+	calls.send(ctx, assignment)
+}
+
+// finish handles the end of a call. A successful response goes to the caller; a
+// target's own error is kept as the fallback.
+func (calls *plainCalls) finish(ctx context.Context, result callResult) callOutcome {
+	exchange, call := calls.exchange, result.call
+	calls.inFlight = slices.DeleteFunc(calls.inFlight, func(other *plainCall) bool { return other == call })
+	call.end()
+	exchange.proxy.scheduler.Release(&call.assignment)
+	target := call.assignment.Target
+	if result.err != nil {
+		return exchange.classifyNoResponse(ctx, target, result.err, call)
+	}
+	if result.info.NotRun {
+		exchange.recordCall(target, "call", "not-run", call.started)
+		if result.info.Misdirected {
+			exchange.proxy.scheduler.PauseTarget(target.ID, misdirectedPause)
+		}
+		return outcomeNotRun
+	}
+	exchange.runs++
+	exchange.countUsage()
+	observation := health.Observation{Target: target.ID, TTFB: time.Since(call.started), ExpectedTTFB: exchange.route.LatencyObjective / 4}
+	outcome, name := outcomeSucceeded, "answered"
+	switch {
+	case result.bodyErr != nil || (result.response.Status < http.StatusMultipleChoices && !exchange.isAuthentic(result.response, result.info)):
+		outcome, name = outcomeFailed, "broken"
+	case result.response.Status >= http.StatusInternalServerError:
+		outcome, name = outcomeFailed, "failed"
+		calls.fallback = &fallbackResponse{response: result.response, body: result.body}
+	}
+	if outcome != outcomeSucceeded {
+		observation.Outcome = health.Failure
+	}
+	if !call.slow {
+		exchange.proxy.reportHealth(observation)
+	}
+	exchange.recordFailedCall(target, "call", name, result.bodyErr, call.started)
+	if outcome == outcomeSucceeded {
+		exchange.deliver(result.response, result.body)
+	}
+	return outcome
+}
+
+// stop ends the calls in flight.
+func (calls *plainCalls) stop() {
+	for _, call := range calls.inFlight {
+		calls.exchange.recordCall(call.assignment.Target, "call", "dropped", call.started)
+		call.end()
+		calls.exchange.proxy.scheduler.Release(&call.assignment)
+	}
+	calls.inFlight = nil
+}
+
+// end cancels a call and waits until its goroutine has ended.
+func (call *plainCall) end() {
+	call.cancel()
+	<-call.done
+}
+
+// callTimeout returns how long a call may take before another target is called,
+// more than the time left if none may be.
+func (exchange *exchange) callTimeout() time.Duration {
+	if exchange.route.Kind != site.Safe {
+		return exchange.remaining() + minCallTimeout
+	}
+	return max(minCallTimeout, time.Duration(callTimeoutShare*float64(exchange.route.LatencyObjective)))
+}
