A slow prefill goes on if the retry budget allows no other engine

Callers were refused with 503 and 'not run' after three times the expected time and 0.3 s, although their prompt was about to be ready: the call was cancelled before the budget was asked.

The budget is now asked first, again each 0.3 s, and the call is cancelled only with a retry in hand.

--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"mangopier.example/mangopier/internal/coordination/health"
@@ -37,7 +38,8 @@
 			return nil, site.Target{}, err
 		}
 		proxy.scheduler.BeginPrefill(&prefill)
-		handle, outcome := exchange.prefillAt(ctx, &prefill)
+		call := &prefillCall{exchange: exchange, prefill: &prefill}
+		handle, outcome := call.do(ctx)
 		proxy.scheduler.EndPrefill(&prefill, outcome == outcomeSucceeded)
 		if outcome == outcomeSucceeded {
 			return handle, prefill.Target, nil
@@ -49,7 +51,7 @@
 		if outcome != outcomeUnsent {
 			sent++
 		}
-		if !exchange.spendRetry(outcome) {
+		if !call.retryPaid.Load() && !exchange.spendRetry(outcome) {
 			return nil, site.Target{}, exchange.capacityError(code.NoTarget, time.Second)
 		}
 	}
@@ -78,13 +80,40 @@
 	return exchange.capacityError(code.TeamOverloaded, expected-limit/2)
 }
 
-// prefillAt has one engine prefill the prompt. A prefill without a response is
-// outcomeNotRun, since repeating it is safe.
-func (exchange *exchange) prefillAt(ctx context.Context, prefill *place.Prefill) (*site.KVHandle, callOutcome) {
+// prefillCall is a call that has one engine prefill a prompt.
+type prefillCall struct {
+	exchange  *exchange
+	prefill   *place.Prefill
+	retryPaid atomic.Bool // the call was cancelled, and its retry taken from the budget
+}
+
+// cancelSlow cancels the call once it takes much longer than expected, if the retry
+// budget allows to ask another engine. The returned function stops that.
+func (call *prefillCall) cancelSlow(cancel context.CancelFunc) (stop func()) {
+	timeout := time.Duration(prefillTimeoutFactor*call.prefill.ExpectedMS()*float64(time.Millisecond)) + prefillTimeoutMargin
+	var timer *time.Timer
+	assigned := make(chan struct{}) // closed when timer may be read
+	timer = time.AfterFunc(timeout, func() {
+		<-assigned
+		if call.exchange.spendRetry(outcomeNotRun) {
+			call.retryPaid.Store(true)
+			cancel()
+			return
+		}
+		timer.Reset(prefillTimeoutMargin)
+	})
+	close(assigned)
+	return func() { timer.Stop() }
+}
+
+// do sends the call. A prefill without a response is outcomeNotRun, since repeating
+// it is safe.
+func (call *prefillCall) do(ctx context.Context) (*site.KVHandle, callOutcome) {
+	exchange, prefill := call.exchange, call.prefill
 	proxy := exchange.proxy
-	timeout := time.Duration(prefillTimeoutFactor*prefill.ExpectedMS()*float64(time.Millisecond)) + prefillTimeoutMargin
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer call.cancelSlow(cancel)()
 	started := time.Now()
 	target := prefill.Target
 	response, info, err := exchange.send(ctx, &site.Call{
