Callers get the whole answer before their connection closes

Callers that read slowly saw their connection end in the middle of an answer, or before it: with "Connection: close" from either side, with HTTP/1.0, when a refusal followed the answer on the same connection, and in a shutdown.

Cause: nbio's Conn.Close drops what its write list still holds. nbhttp closes right after a handler whose request has Close set, a refusal set a read deadline of the linger timeout whatever was still unsent, and Server.Stop took a connection for idle as soon as its handler had returned.

Each connection is now wrapped. It counts the bytes written and, from nbio's written-size callback, the bytes sent. Its Close lets the queued bytes leave, sends the end of the connection (so callers that read to the end see it at once), goes on reading and dropping for the linger timeout (a close with unread bytes would reset the connection and lose the answer), and then makes the poller close it. Requests behind a closing answer are dropped and not run. Memory is bounded as before: WriteBufferBytes for a connection, IdleTimeout from Close to the last byte. Stop waits for answers on their way within its ctx and counts those that it cuts.

--- /dev/null
+++ b/internal/transport/front/conn.go
@@ -0,0 +1,112 @@
+package front
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// conn is the connection of one caller. The library's connection drops what it has
+// not sent when it closes, so conn counts its bytes and closes after the last one.
+type conn struct {
+	net.Conn
+
+	raw           *nbio.Conn
+	sendTimeout   time.Duration // from Close until all bytes have been sent
+	lingerTimeout time.Duration // from the last byte until the caller has closed its end
+
+	writtenBytes atomic.Int64
+	sentBytes    atomic.Int64
+	closing      atomic.Bool // Close has been called
+	ended        bool        // the caller has been sent the end; guarded by the lock of raw
+}
+
+func newConn(raw *nbio.Conn, inner net.Conn, limits Limits) *conn {
+	return &conn{Conn: inner, raw: raw, sendTimeout: limits.IdleTimeout, lingerTimeout: limits.LingerTimeout}
+}
+
+// Write queues data for the caller. It returns net.ErrClosed after Close.
+func (conn *conn) Write(data []byte) (int, error) {
+	if conn.closing.Load() {
+		return 0, net.ErrClosed
+	}
+	conn.writtenBytes.Add(int64(len(data)))
+	return conn.Conn.Write(data)
+}
+
+// Close lets the caller read what has been written and then the end of the
+// connection. It does not wait for that.
+func (conn *conn) Close() error {
+	if conn.closing.Swap(true) {
+		return nil
+	}
+	_ = conn.raw.SetReadDeadline(time.Now().Add(conn.sendTimeout))
+	conn.raw.Lock()
+	defer conn.raw.Unlock()
+	if !conn.sending() {
+		conn.end()
+	}
+	return nil
+}
+
+// sending reports whether written bytes wait to be sent.
+func (conn *conn) sending() bool {
+	return conn.sentBytes.Load() < conn.writtenBytes.Load()
+}
+
+// countSent counts bytes that the kernel has taken. The library holds the lock of
+// raw when it reports them.
+func (conn *conn) countSent(bytes int) {
+	conn.sentBytes.Add(int64(bytes))
+	if conn.closing.Load() && !conn.sending() {
+		conn.end()
+	}
+}
+
+// end sends the end of the connection but goes on reading: closing a connection
+// with unread bytes resets it, and the caller would lose the answer. The caller
+// holds the lock of raw.
+func (conn *conn) end() {
+	if conn.ended {
+		return
+	}
+	conn.ended = true
+	conn.shutdown(syscall.SHUT_WR)
+	time.AfterFunc(conn.lingerTimeout, conn.endBothWays)
+}
+
+// endBothWays makes the poller close the connection.
+func (conn *conn) endBothWays() {
+	conn.raw.Lock()
+	defer conn.raw.Unlock()
+	conn.shutdown(syscall.SHUT_RDWR)
+}
+
+// shutdown does nothing on a closed connection, whose file descriptor may belong
+// to another one. The caller holds the lock of raw.
+func (conn *conn) shutdown(how int) {
+	if closed, _ := conn.raw.IsClosed(); closed {
+		return
+	}
+	raw, err := conn.raw.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), how) })
+}
+
+// countSent reports the bytes that the library has sent to the connection that
+// wrote them.
+func countSent(raw *nbio.Conn, _ []byte, bytes int) {
+	parser, ok := raw.Session().(*nbhttp.Parser)
+	if !ok {
+		return
+	}
+	if conn, ok := parser.Conn.(*conn); ok {
+		conn.countSent(bytes)
+	}
+}
--- a/internal/transport/front/guard.go
+++ b/internal/transport/front/guard.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"mangopier.example/mangopier/internal/protocol/code"
@@ -32,9 +33,11 @@
 
 	server *Server
 	parser *nbhttp.Parser
+	conn   *conn
 	ctx    context.Context
 	cancel context.CancelFunc
 	queue  queue
+	active atomic.Int64 // requests that run or wait for an earlier one
 
 	mu                  sync.Mutex // held by receive and release
 	state               parseState
@@ -61,8 +64,10 @@
 // newProcessor wraps the parser's processor. It also takes over the execution of
 // handlers, since the engine would not report a closed connection until the
 // running handler returns.
-func newProcessor(server *Server, parser *nbhttp.Parser) *processor {
+func newProcessor(server *Server, parser *nbhttp.Parser, raw *nbio.Conn) *processor {
 	processor := &processor{Processor: parser.Processor, server: server, parser: parser}
+	processor.conn = newConn(raw, parser.Conn, server.limits)
+	parser.Conn = processor.conn
 	processor.ctx, processor.cancel = context.WithCancel(context.Background())
 	processor.queue.maxWaiting = server.limits.PipelineDepth
 	parser.Processor = processor
@@ -71,23 +76,28 @@
 	return processor
 }
 
-// closeIfIdle closes the connection if no request is arriving, waiting or running.
-// Data that arrives later is dropped.
+// closeIfIdle closes the connection if no request is arriving, waiting or running
+// and no answer is on its way. Data that arrives later is dropped.
 func (processor *processor) closeIfIdle() {
 	processor.mu.Lock()
 	defer processor.mu.Unlock()
-	if processor.state != stateIdle || processor.queue.busy() {
+	if processor.state != stateIdle || processor.queue.busy() || processor.conn.sending() {
 		return
 	}
 	processor.state = stateRefused
-	_ = processor.parser.Conn.Close()
+	_ = processor.conn.Close()
+}
+
+// sendsAnswer reports whether an answer is on its way and no handler is running.
+func (processor *processor) sendsAnswer() bool {
+	return processor.active.Load() == 0 && processor.conn.sending()
 }
 
 // receive parses data and responds to malformed requests with an error.
 func (processor *processor) receive(data []byte) {
 	processor.mu.Lock()
 	defer processor.mu.Unlock()
-	if processor.state == stateRefused {
+	if processor.state == stateRefused || processor.conn.closing.Load() {
 		return
 	}
 	if err := processor.parser.Parse(data); err != nil {
@@ -226,18 +236,24 @@
 }
 
 // execute queues a handler after the earlier requests of the connection. It
-// returns false and refuses the request if too many are waiting.
+// returns false and refuses the request if too many are waiting. The handler is
+// not run if an earlier answer closes the connection.
 func (processor *processor) execute(handle func()) bool {
 	reserved := processor.reservedBytes
 	server := processor.server
 	server.activeRequests.Add(1)
+	processor.active.Add(1)
 	accepted := processor.queue.tryPush(func() {
 		defer server.activeRequests.Add(-1)
+		defer processor.active.Add(-1)
 		defer server.reservedBodyBytes.Add(-reserved)
-		handle()
+		if !processor.conn.closing.Load() {
+			handle()
+		}
 	})
 	if !accepted {
 		server.activeRequests.Add(-1)
+		processor.active.Add(-1)
 		server.reservedBodyBytes.Add(-reserved)
 		processor.reservedBytes = 0
 		processor.refuse(code.Errorf(code.MalformedRequest, "more than %d pipelined requests", server.limits.PipelineDepth))
@@ -331,9 +347,8 @@
 	if !processor.timerState.CompareAndSwap(timerRunning, timerExpired) {
 		return
 	}
-	limits := processor.server.limits
-	err := code.Errorf(code.BodyTimeout, "request did not arrive whole in %v", limits.RequestTimeout)
-	processor.queue.pushUnbounded(func() { writeErrorToConn(processor.parser.Conn, err, limits.LingerTimeout) })
+	err := code.Errorf(code.BodyTimeout, "request did not arrive whole in %v", processor.server.limits.RequestTimeout)
+	processor.queue.pushUnbounded(func() { writeErrorToConn(processor.conn, err) })
 }
 
 // stopTimer stops the timer. It returns false if the timer has already refused the
@@ -348,8 +363,7 @@
 }
 
 // refuse responds with an error after the earlier requests of the connection and
-// drops the data that still arrives. The connection closes after the linger
-// timeout.
+// drops the data that still arrives. The connection closes after the response.
 func (processor *processor) refuse(err error) {
 	if processor.state == stateRefused {
 		return
@@ -360,10 +374,9 @@
 	}
 	processor.server.reservedBodyBytes.Add(-processor.reservedBytes)
 	processor.reservedBytes = 0
-	conn := processor.parser.Conn
-	processor.queue.pushUnbounded(func() { writeErrorToConn(conn, err, processor.server.limits.LingerTimeout) })
+	processor.queue.pushUnbounded(func() { writeErrorToConn(processor.conn, err) })
 }
 
 func (processor *processor) sendContinue() {
-	_, _ = processor.parser.Conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	_, _ = processor.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 }
--- a/internal/transport/front/refusal.go
+++ b/internal/transport/front/refusal.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/go-json-experiment/json"
 
@@ -95,9 +94,8 @@
 }
 
 // writeErrorToConn writes the error response of a request that never reached a
-// handler. A read deadline closes the connection after the linger timeout, so that
-// the caller has time to read the response.
-func writeErrorToConn(conn net.Conn, err error, lingerTimeout time.Duration) {
+// handler, and closes the connection.
+func writeErrorToConn(conn net.Conn, err error) {
 	body := ErrorJSON(err)
 	header := http.Header{}
 	setErrorHeaders(header, err)
@@ -112,5 +110,5 @@
 		Body:          io.NopCloser(bytes.NewReader(body)),
 	}
 	_ = response.Write(conn)
-	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = conn.Close()
 }
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -29,8 +29,8 @@
 	PipelineDepth    int           // requests of one connection that wait for the running one
 	WriteBufferBytes int           // response bytes that are buffered for a slow caller
 	RequestTimeout   time.Duration // from the first byte of a request to its last
-	IdleTimeout      time.Duration // between requests
-	LingerTimeout    time.Duration // from an error response that ends the connection to its close
+	IdleTimeout      time.Duration // between requests, and from the end of a handler to the last byte of its response
+	LingerTimeout    time.Duration // from the end of a closing response until the caller must have closed its end
 }
 
 // DefaultLimits returns the limits that New uses unless WithLimits is given.
@@ -102,6 +102,7 @@
 	server.engine.OnAcceptError(func(error) { time.Sleep(acceptErrorBackoff) })
 	server.engine.OnOpen(func(net.Conn) { server.accepted.Add(1) })
 	server.engine.OnData(server.handleData)
+	server.engine.OnWrittenSize(countSent)
 	return server
 }
 
@@ -145,8 +146,8 @@
 }
 
 // Stop closes the listener and idle connections, waits until no request is being
-// handled or ctx ends, and closes all connections. It returns the number of
-// requests that it interrupted.
+// handled and all responses have been sent or ctx ends, and closes all
+// connections. It returns the number of requests that it interrupted.
 func (server *Server) Stop(ctx context.Context) int64 {
 	var interrupted int64
 	server.stopOnce.Do(func() {
@@ -159,34 +160,53 @@
 	return interrupted
 }
 
-// waitForRequests returns the number of requests that still run when ctx ends. It
-// polls, since the end of the last request is rare and does not justify a signal
-// on the path of every request.
+// waitForRequests returns the number of requests whose response has not been sent
+// when ctx ends. It polls, since the end of the last request is rare and does not
+// justify a signal on the path of every request.
 func (server *Server) waitForRequests(ctx context.Context) int64 {
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
 	for {
 		server.closeIdleConnections()
-		active := server.activeRequests.Load()
-		if active == 0 {
+		// In this order, since a request that ends leaves bytes to be sent.
+		unfinished := server.activeRequests.Load()
+		unfinished += server.countAnswersOnTheirWay()
+		if unfinished == 0 {
 			return 0
 		}
 		select {
 		case <-ctx.Done():
-			return active
+			return unfinished
 		case <-ticker.C:
 		}
 	}
 }
 
 // closeIdleConnections closes the connections on which no request is arriving or
-// being handled.
+// being handled and no response is on its way.
 func (server *Server) closeIdleConnections() {
-	server.processors.Range(func(key, _ any) bool {
-		if processor, ok := key.(*processor); ok {
-			processor.closeIfIdle()
+	for processor := range server.eachProcessor {
+		processor.closeIfIdle()
+	}
+}
+
+// countAnswersOnTheirWay returns the number of connections whose handlers have
+// ended but whose responses have not been sent.
+func (server *Server) countAnswersOnTheirWay() int64 {
+	var answers int64
+	for processor := range server.eachProcessor {
+		if processor.sendsAnswer() {
+			answers++
 		}
-		return true
+	}
+	return answers
+}
+
+// eachProcessor is an iterator over the connections that have sent data.
+func (server *Server) eachProcessor(yield func(*processor) bool) {
+	server.processors.Range(func(key, _ any) bool {
+		processor, ok := key.(*processor)
+		return !ok || yield(processor)
 	})
 }
 
@@ -253,7 +273,7 @@
 	}
 	current, ok := parser.Processor.(*processor)
 	if !ok {
-		current = newProcessor(server, parser)
+		current = newProcessor(server, parser, conn)
 	}
 	current.receive(data)
 }
--- a/internal/transport/front/server_test.go
+++ b/internal/transport/front/server_test.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -232,3 +233,193 @@
 		t.Errorf("server.Stop() = %d interrupted requests, want 0", interrupted)
 	}
 }
+
+// Sizes for tests of callers that read slowly: the answer exceeds what the sockets
+// of both ends hold, and the server's buffer takes the rest.
+const (
+	largeAnswerBytes   = 12 << 20
+	receiveBufferBytes = 4 << 10
+)
+
+func largeAnswerLimits() front.Limits {
+	limits := front.DefaultLimits()
+	limits.WriteBufferBytes = 2 * largeAnswerBytes
+	return limits
+}
+
+func writeLargeAnswer(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", strconv.Itoa(largeAnswerBytes))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(bytes.Repeat([]byte("x"), largeAnswerBytes))
+}
+
+// dialSlowReader connects with a small receive buffer, so that most of a large
+// answer waits at the server until the caller reads it.
+func dialSlowReader(t *testing.T, server *front.Server) net.Conn {
+	t.Helper()
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+		})
+	}}
+	conn, err := dialer.Dial("tcp", server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(connTimeout))
+	return conn
+}
+
+// waitForHandlers waits until every handler that has started has ended.
+func waitForHandlers(t *testing.T, server *front.Server, ended <-chan struct{}) {
+	t.Helper()
+	<-ended
+	for server.ActiveRequests() != 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// checkLargeAnswer reads one large answer.
+func checkLargeAnswer(t *testing.T, reader *bufio.Reader) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Errorf("http.ReadResponse() error = %v, want none", err)
+		return
+	}
+	n, err := io.Copy(io.Discard, response.Body)
+	if n != largeAnswerBytes || err != nil {
+		t.Errorf("answer = %d bytes, error %v, want %d bytes, no error", n, err, largeAnswerBytes)
+	}
+}
+
+// Guards against lost answers: closing the connection after an answer dropped the
+// bytes that the caller had not yet taken.
+func TestClosingAnswerReachesSlowReader(t *testing.T) {
+	cases := []struct{ name, request string }{
+		{"closed by the handler", "GET /close HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"closed by the caller", "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"},
+		{"HTTP/1.0", "GET / HTTP/1.0\r\nHost: a\r\n\r\n"},
+		{"with further bytes behind the request", "GET /close HTTP/1.1\r\nHost: a\r\n\r\n" + strings.Repeat("x", 256<<10)},
+		{"with an invalid request behind it", "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\n\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ended := make(chan struct{})
+			limits := largeAnswerLimits()
+			limits.LingerTimeout = 50 * time.Millisecond
+			server := startServer(t, limits, func(w http.ResponseWriter, r *http.Request) {
+				defer close(ended)
+				if r.URL.Path == "/close" {
+					w.Header().Set("Connection", "close")
+				}
+				writeLargeAnswer(w)
+			})
+			conn := dialSlowReader(t, server)
+			go func() { _, _ = io.WriteString(conn, c.request) }()
+			waitForHandlers(t, server, ended)
+			time.Sleep(2 * limits.LingerTimeout)
+			checkLargeAnswer(t, bufio.NewReader(conn))
+		})
+	}
+}
+
+// Guards against callers that wait for the end of the connection: it must follow
+// the answer without a timeout.
+func TestConnectionEndsAfterClosingAnswer(t *testing.T) {
+	limits := front.DefaultLimits()
+	limits.IdleTimeout, limits.LingerTimeout = time.Hour, time.Hour
+	server := startServer(t, limits, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/close" {
+			w.Header().Set("Connection", "close")
+		}
+		w.Header().Set("Content-Length", "2")
+		w.WriteHeader(http.StatusOK)
+		_, _ = io.WriteString(w, "ok")
+	})
+	requests := []string{
+		"GET / HTTP/1.0\r\nHost: a\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+		"GET /close HTTP/1.1\r\nHost: a\r\n\r\n",
+	}
+	for _, request := range requests {
+		conn := dial(t, server)
+		_, _ = io.WriteString(conn, request)
+		data, err := io.ReadAll(conn)
+		if err != nil || !strings.HasSuffix(string(data), "\r\n\r\nok") {
+			t.Errorf("request %q: io.ReadAll() = %q, %v, want the answer and its end", request, data, err)
+		}
+	}
+}
+
+// Guards against work that nobody can be told about: a request behind a closing
+// answer must not reach the handler.
+func TestRequestBehindClosingAnswerIsNotRun(t *testing.T) {
+	server := startServer(t, front.DefaultLimits(), func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/behind" {
+			t.Error("request behind a closing answer reached the handler")
+		}
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusOK)
+	})
+	got := sendRaw(t, server, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /behind HTTP/1.1\r\nHost: a\r\n\r\n")
+	if got != "200/" {
+		t.Errorf("responses = %s, want 200/", got)
+	}
+}
+
+// Guards against answers lost in a shutdown: a connection whose handler has ended
+// is not idle while its answer is on its way.
+func TestStopWaitsForAnswersOnTheirWay(t *testing.T) {
+	for _, path := range []string{"/keep-alive", "/close"} {
+		t.Run(path, func(t *testing.T) {
+			ended := make(chan struct{})
+			server := startServer(t, largeAnswerLimits(), func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/idle" {
+					w.WriteHeader(http.StatusNoContent)
+					return
+				}
+				defer close(ended)
+				if r.URL.Path == "/close" {
+					w.Header().Set("Connection", "close")
+				}
+				writeLargeAnswer(w)
+			})
+			idle, slow := dial(t, server), dialSlowReader(t, server)
+			_, _ = io.WriteString(idle, "GET /idle HTTP/1.1\r\nHost: a\r\n\r\n")
+			idleReader := bufio.NewReader(idle)
+			if _, err := http.ReadResponse(idleReader, nil); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(slow, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+			waitForHandlers(t, server, ended)
+			stopped := make(chan int64, 1)
+			go func() { stopped <- server.Stop(context.Background()) }()
+			if _, err := idleReader.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("read from the idle connection: error = %v, want EOF", err)
+			}
+			checkLargeAnswer(t, bufio.NewReader(slow))
+			if interrupted := <-stopped; interrupted != 0 {
+				t.Errorf("server.Stop() = %d interrupted requests, want 0", interrupted)
+			}
+		})
+	}
+}
+
+// Guards against a shutdown that hides a cut answer from its count.
+func TestStopCountsAnswersThatItCuts(t *testing.T) {
+	ended := make(chan struct{})
+	server := startServer(t, largeAnswerLimits(), func(w http.ResponseWriter, _ *http.Request) {
+		defer close(ended)
+		writeLargeAnswer(w)
+	})
+	slow := dialSlowReader(t, server)
+	_, _ = io.WriteString(slow, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	waitForHandlers(t, server, ended)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if interrupted := server.Stop(ctx); interrupted != 1 {
+		t.Errorf("server.Stop() = %d interrupted requests, want 1", interrupted)
+	}
+}
