A handler's panic is answered with the internal error

Callers whose request made a handler panic saw their connection end without any answer. Cause: recoverPanic only closed the connection, also when nothing of the response had been sent.

If no byte of the response has been written, the caller now gets code 5001, whose run status is unknown, and the connection closes after its bytes have left. Bytes that the library still buffers for the broken response are dropped, since the connection takes none after its close. Once bytes of the response have been written, it is cut as before, and http.ErrAbortHandler still cuts without an answer; bytes that were written before the cut, such as an earlier answer of the same connection, now reach the caller.

On the old code (go test -race ./internal/transport/front):

TestPanicBeforeHeaderIsAnswered: path /: http.ReadResponse() error = unexpected EOF, want the internal error

TestAbortedAnswerIsCut passed before as well; it guards the cut.

--- a/internal/transport/front/refusal.go
+++ b/internal/transport/front/refusal.go
@@ -93,8 +93,8 @@
 	return status
 }
 
-// writeErrorToConn writes the error response of a request that never reached a
-// handler, and closes the connection.
+// writeErrorToConn writes the error response of a request that has no handler, or
+// whose handler panicked, and closes the connection.
 func writeErrorToConn(conn net.Conn, err error) {
 	body := ErrorJSON(err)
 	header := http.Header{}
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -17,6 +17,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"mangopier.example/mangopier/internal/protocol/code"
 )
 
 // Limits bound the sizes, counts and durations that a server accepts.
@@ -58,7 +60,8 @@
 }
 
 // WithPanicHandler sets a function that is called with the value of a handler's
-// panic. Only the request that panicked and its connection end.
+// panic. Only the request that panicked and its connection end. Its caller gets an
+// internal error if the response has not begun.
 func WithPanicHandler(handle func(cause any)) Option {
 	return func(server *Server) { server.onPanic = handle }
 }
@@ -228,24 +231,32 @@
 	if !ok {
 		return
 	}
-	defer server.recoverPanic(response)
+	defer server.recoverPanic(processor.conn, processor.conn.writtenBytes.Load())
 	server.handler.ServeHTTP(writer{response}, r.WithContext(processor.ctx))
 	if strings.EqualFold(response.Header().Get("Connection"), "close") {
 		r.Close = true
 	}
 }
 
-// recoverPanic closes the connection of a handler that panicked. It reports the
-// panic unless it is http.ErrAbortHandler, which aborts a response on purpose.
-func (server *Server) recoverPanic(response *nbhttp.Response) {
+// recoverPanic closes the connection of a handler that panicked. If none of its
+// response has been written since bytesBefore, the caller gets an internal error.
+// It reports the panic unless it is http.ErrAbortHandler, which aborts a response
+// on purpose.
+func (server *Server) recoverPanic(conn *conn, bytesBefore int64) {
 	cause := recover()
 	if cause == nil {
 		return
 	}
-	if cause != http.ErrAbortHandler { //nolint:errorlint,err113 // a panic's value, by identity
-		server.onPanic(cause)
+	if cause == http.ErrAbortHandler { //nolint:errorlint,err113 // a panic's value, by identity
+		_ = conn.Close()
+		return
+	}
+	server.onPanic(cause)
+	if conn.writtenBytes.Load() == bytesBefore {
+		writeErrorToConn(conn, code.Errorf(code.Internal, "handler panicked"))
+		return
 	}
-	_ = response.Parser.Conn.Close()
+	_ = conn.Close()
 }
 
 // writer hides the ReadFrom method of the response from io.Copy, since that method
--- a/internal/transport/front/server_test.go
+++ b/internal/transport/front/server_test.go
@@ -423,3 +423,80 @@
 		t.Errorf("server.Stop() = %d interrupted requests, want 1", interrupted)
 	}
 }
+
+// Guards against requests without an answer: a handler that panicked before its
+// header was sent ended the connection and nothing else.
+func TestPanicBeforeHeaderIsAnswered(t *testing.T) {
+	const cause = "row 17 of secrets"
+	causes := make(chan any, 1)
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/buffered" {
+			w.Header().Set("Content-Length", "4")
+			w.WriteHeader(http.StatusOK)
+			_, _ = io.WriteString(w, "ok")
+		}
+		panic(cause)
+	}
+	server := front.New("127.0.0.1:0", http.HandlerFunc(handler), front.WithPanicHandler(func(cause any) { causes <- cause }))
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { server.Stop(context.Background()) })
+	for _, path := range []string{"/", "/buffered"} {
+		conn := dial(t, server)
+		_, _ = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+		reader := bufio.NewReader(conn)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("path %s: http.ReadResponse() error = %v, want the internal error", path, err)
+		}
+		number, run := response.Header.Get(front.HeaderCode), response.Header.Get(front.HeaderRun)
+		if response.StatusCode != http.StatusInternalServerError || number != "5001" || run != "unknown" {
+			t.Errorf("path %s: status, code, run = %d, %s, %s, want 500, 5001, unknown", path, response.StatusCode, number, run)
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil || strings.Contains(string(body), cause) {
+			t.Errorf("path %s: body = %s, %v, want one without the cause", path, body, err)
+		}
+		if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("path %s: read behind the answer: error = %v, want EOF", path, err)
+		}
+		if got := <-causes; got != cause {
+			t.Errorf("path %s: reported cause = %v, want %s", path, got, cause)
+		}
+	}
+}
+
+// Guards against broken answers that look complete: a panic behind the header, or
+// http.ErrAbortHandler anywhere, must cut the connection.
+func TestAbortedAnswerIsCut(t *testing.T) {
+	server := startServer(t, front.DefaultLimits(), func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/abort" {
+			panic(http.ErrAbortHandler)
+		}
+		if r.URL.Path == "/length" {
+			w.Header().Set("Content-Length", "10")
+		}
+		w.WriteHeader(http.StatusOK)
+		_, _ = io.WriteString(w, "part")
+		w.(http.Flusher).Flush()
+		panic("fault")
+	})
+	conn := dial(t, server)
+	_, _ = io.WriteString(conn, "GET /abort HTTP/1.1\r\nHost: a\r\n\r\n")
+	if data, err := io.ReadAll(conn); err != nil || len(data) != 0 {
+		t.Errorf("aborted request: io.ReadAll() = %q, %v, want nothing", data, err)
+	}
+	for _, path := range []string{"/length", "/chunks"} {
+		conn := dial(t, server)
+		_, _ = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if string(body) != "part" || !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("path %s: body = %q, %v, want part, unexpected EOF", path, body, err)
+		}
+	}
+}
