Deadlines of other requests no longer cut a running handler

Callers saw their connection end without an answer while their request was being handled, if the same connection carried another request before or behind it.

Cause: one read deadline per connection served several purposes. After each response the library set the idle timeout, also when the next request had already arrived (behind it, or just between the response and the call), so that a handler that ran for longer than IdleTimeout was cut. And an incomplete request set RequestTimeout+LingerTimeout, although its refusal waits for the running handler, so that this handler was cut.

The library's call is now ignored. The idle timeout starts under the lock of the connection, only when no request is arriving, waiting or running. An incomplete request clears the deadline; its timer alone refuses it, after the earlier ones.

On the old code (go test -race ./internal/transport/front):

TestRunningHandlerOutlastsDeadlinesOfOtherRequests: connection closed while its handler was running .../idle_timeout_of_an_earlier_answer: responses = 200/, want 200/ 200/ .../incomplete_request_behind: responses = , want 200/ 408/1015

The case of a refused request behind passed before as well.

--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -44,7 +44,7 @@
 	if conn.closing.Swap(true) {
 		return nil
 	}
-	_ = conn.raw.SetReadDeadline(time.Now().Add(conn.sendTimeout))
+	conn.closeAfter(conn.sendTimeout)
 	conn.raw.Lock()
 	defer conn.raw.Unlock()
 	if !conn.sending() {
@@ -53,6 +53,26 @@
 	return nil
 }
 
+// SetReadDeadline does nothing. The library sets its idle timeout through it after
+// each response, also when the next request is already running.
+func (conn *conn) SetReadDeadline(time.Time) error {
+	return nil
+}
+
+// closeAfter closes the connection after the timeout, with all that is unsent.
+func (conn *conn) closeAfter(timeout time.Duration) {
+	_ = conn.raw.SetReadDeadline(time.Now().Add(timeout))
+}
+
+// clearDeadline ends the effect of an earlier closeAfter, but not of Close, which
+// may run at the same time.
+func (conn *conn) clearDeadline() {
+	_ = conn.raw.SetReadDeadline(time.Time{})
+	if conn.closing.Load() {
+		conn.closeAfter(conn.sendTimeout)
+	}
+}
+
 // sending reports whether written bytes wait to be sent.
 func (conn *conn) sending() bool {
 	return conn.sentBytes.Load() < conn.writtenBytes.Load()
--- a/internal/transport/front/guard.go
+++ b/internal/transport/front/guard.go
@@ -210,7 +210,7 @@
 		return
 	}
 	processor.state = stateIdle
-	_ = parser.Conn.SetReadDeadline(time.Time{})
+	processor.conn.clearDeadline()
 	processor.reserveBodyBytes(max(0, int64(processor.bodyBytes)-processor.reservedBytes))
 	processor.Processor.OnComplete(parser)
 	processor.reservedBytes = 0
@@ -244,6 +244,7 @@
 	server.activeRequests.Add(1)
 	processor.active.Add(1)
 	accepted := processor.queue.tryPush(func() {
+		defer processor.startIdleTimeout()
 		defer server.activeRequests.Add(-1)
 		defer processor.active.Add(-1)
 		defer server.reservedBodyBytes.Add(-reserved)
@@ -261,6 +262,16 @@
 	return accepted
 }
 
+// startIdleTimeout limits the time until the next request, unless one is arriving,
+// waiting or running.
+func (processor *processor) startIdleTimeout() {
+	processor.mu.Lock()
+	defer processor.mu.Unlock()
+	if processor.state == stateIdle && processor.active.Load() == 0 {
+		processor.conn.closeAfter(processor.server.limits.IdleTimeout)
+	}
+}
+
 func (processor *processor) checkContentLength(value string) {
 	value = strings.TrimSpace(value)
 	if processor.contentLength != "" && processor.contentLength != value {
@@ -330,14 +341,14 @@
 }
 
 // startTimer limits the time from the first byte of a request to its last. It does
-// nothing between requests or if the timer is running.
+// nothing between requests or if the timer is running. The timer refuses the
+// request after the earlier ones, whose handlers may run for longer.
 func (processor *processor) startTimer() {
 	partial := processor.state == stateHeader || processor.state == stateBody
 	if !partial || processor.timer != nil {
 		return
 	}
-	conn := processor.parser.Conn
-	_ = conn.SetReadDeadline(time.Now().Add(processor.server.limits.RequestTimeout + processor.server.limits.LingerTimeout))
+	processor.conn.clearDeadline()
 	processor.timerState.Store(timerRunning)
 	processor.timer = time.AfterFunc(processor.server.limits.RequestTimeout, processor.refuseOnTimeout)
 }
--- a/internal/transport/front/server_test.go
+++ b/internal/transport/front/server_test.go
@@ -500,3 +500,33 @@
 		}
 	}
 }
+
+// Guards against lost answers: the deadlines of an earlier or a later request of
+// the connection closed it while a handler was running.
+func TestRunningHandlerOutlastsDeadlinesOfOtherRequests(t *testing.T) {
+	const partial = "POST /quick HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf"
+	cases := []struct{ name, input, want string }{
+		{"idle timeout of an earlier answer", "GET /quick HTTP/1.1\r\nHost: a\r\n\r\nGET /slow HTTP/1.1\r\nHost: a\r\n\r\n", "200/ 200/"},
+		{"incomplete request behind", "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n" + partial, "200/ 408/1015"},
+		{"refused request behind", "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n" + partial + "wrong-end", "200/ 200/ 400/1001"},
+	}
+	limits := front.DefaultLimits()
+	limits.RequestTimeout, limits.IdleTimeout, limits.LingerTimeout = 50*time.Millisecond, 200*time.Millisecond, 50*time.Millisecond
+	server := startServer(t, limits, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			select {
+			case <-r.Context().Done():
+				t.Error("connection closed while its handler was running")
+			case <-time.After(2 * limits.IdleTimeout):
+			}
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := sendRaw(t, server, c.input); got != c.want {
+				t.Errorf("responses = %s, want %s", got, c.want)
+			}
+		})
+	}
+}
