Stop lets arriving requests become whole and answers them

Callers whose request was arriving when the instance stopped saw the connection end without an answer or a refusal, even if its last bytes came a moment later.

Cause: Stop kept connections open on which a request was arriving, but waited only for requests that had reached a handler. With none of those it closed all connections at once. The same gap lost a request that became whole between the last look at the counter and the close, and refusals that had not been written.

Stop now waits until every connection is idle or closed. A connection is looked at and closed under its lock, so no request can come in between. Idle ones are still closed at once, and a request that stays incomplete is refused after RequestTimeout, which bounds the wait besides ctx. A write that fails no longer counts as bytes on their way, since a wait for them would not end.

On the old code (go test -race ./internal/transport/front):

TestStopAnswersArrivingRequests/whole_request: io.ReadAll() = "", <nil>, want HTTP/1.1 200 TestStopAnswersArrivingRequests/request_that_stays_incomplete: io.ReadAll() = "", <nil>, want HTTP/1.1 408

--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -35,7 +35,11 @@
 		return 0, net.ErrClosed
 	}
 	conn.writtenBytes.Add(int64(len(data)))
-	return conn.Conn.Write(data)
+	n, err := conn.Conn.Write(data)
+	if err != nil {
+		conn.writtenBytes.Add(-int64(len(data)))
+	}
+	return n, err
 }
 
 // Close lets the caller read what has been written and then the end of the
--- a/internal/transport/front/guard.go
+++ b/internal/transport/front/guard.go
@@ -77,15 +77,23 @@
 }
 
 // closeIfIdle closes the connection if no request is arriving, waiting or running
-// and no answer is on its way. Data that arrives later is dropped.
-func (processor *processor) closeIfIdle() {
+// and no answer is on its way. It reports whether that was so. Data that arrives
+// later is dropped.
+func (processor *processor) closeIfIdle() bool {
 	processor.mu.Lock()
 	defer processor.mu.Unlock()
-	if processor.state != stateIdle || processor.queue.busy() || processor.conn.sending() {
-		return
+	if processor.queue.busy() || processor.conn.sending() {
+		return false
+	}
+	if processor.conn.closing.Load() {
+		return true
+	}
+	if processor.state != stateIdle {
+		return false
 	}
 	processor.state = stateRefused
 	_ = processor.conn.Close()
+	return true
 }
 
 // sendsAnswer reports whether an answer is on its way and no handler is running.
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -148,9 +148,10 @@
 	return server.accepted.Load()
 }
 
-// Stop closes the listener and idle connections, waits until no request is being
-// handled and all responses have been sent or ctx ends, and closes all
-// connections. It returns the number of requests that it interrupted.
+// Stop closes the listener and idle connections, waits until the requests that are
+// arriving or being handled have got their whole response or ctx ends, and closes
+// all connections. It returns the number of requests that it interrupted, without
+// those that had not arrived.
 func (server *Server) Stop(ctx context.Context) int64 {
 	var interrupted int64
 	server.stopOnce.Do(func() {
@@ -169,28 +170,26 @@
 func (server *Server) waitForRequests(ctx context.Context) int64 {
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
-	for {
-		server.closeIdleConnections()
-		// In this order, since a request that ends leaves bytes to be sent.
-		unfinished := server.activeRequests.Load()
-		unfinished += server.countAnswersOnTheirWay()
-		if unfinished == 0 {
-			return 0
-		}
+	for !server.closeIdleConnections() {
 		select {
 		case <-ctx.Done():
-			return unfinished
+			return server.activeRequests.Load() + server.countAnswersOnTheirWay()
 		case <-ticker.C:
 		}
 	}
+	return 0
 }
 
 // closeIdleConnections closes the connections on which no request is arriving or
-// being handled and no response is on its way.
-func (server *Server) closeIdleConnections() {
+// being handled and no response is on its way. It reports whether these were all.
+func (server *Server) closeIdleConnections() bool {
+	allIdle := true
 	for processor := range server.eachProcessor {
-		processor.closeIfIdle()
+		if !processor.closeIfIdle() {
+			allIdle = false
+		}
 	}
+	return allIdle
 }
 
 // countAnswersOnTheirWay returns the number of connections whose handlers have
--- a/internal/transport/front/server_test.go
+++ b/internal/transport/front/server_test.go
@@ -530,3 +530,46 @@
 		})
 	}
 }
+
+// Guards against requests that a shutdown leaves without an answer or a refusal: a
+// connection on which a request is arriving is not idle.
+func TestStopAnswersArrivingRequests(t *testing.T) {
+	const firstHalf = "POST /last HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nha"
+	cases := []struct{ name, rest, want string }{
+		{"whole request", "lf", "HTTP/1.1 200"},
+		{"request that stays incomplete", "", "HTTP/1.1 408"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			limits := front.DefaultLimits()
+			limits.RequestTimeout = 500 * time.Millisecond
+			server := startServer(t, limits, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/last" {
+					w.Header().Set("Connection", "close")
+				}
+				w.WriteHeader(http.StatusOK)
+				_, _ = io.Copy(w, r.Body)
+			})
+			idle, arriving := dial(t, server), dial(t, server)
+			_, _ = io.WriteString(idle, "GET /idle HTTP/1.1\r\nHost: a\r\n\r\n")
+			_, _ = io.WriteString(arriving, firstHalf)
+			for server.ReservedBodyBytes() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			stopped := make(chan int64, 1)
+			go func() { stopped <- server.Stop(context.Background()) }()
+			if _, err := io.ReadAll(idle); err != nil {
+				t.Errorf("read from the idle connection: error = %v, want EOF", err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(arriving, c.rest)
+			data, err := io.ReadAll(arriving)
+			if err != nil || !strings.HasPrefix(string(data), c.want) {
+				t.Errorf("io.ReadAll() = %q, %v, want %s", data, err, c.want)
+			}
+			if interrupted := <-stopped; interrupted != 0 {
+				t.Errorf("server.Stop() = %d interrupted requests, want 0", interrupted)
+			}
+		})
+	}
+}
