Answers larger than the write buffer wait for room

Callers saw an answer of more than 4 MiB end behind its header, however fast they read, although answers of up to 16 MiB are accepted from targets. Slow callers lost streams at the point where 4 MiB waited for them.

Cause: nbio refuses a write that would take its buffer beyond MaxWriteBufferSize, even if the socket could take the bytes at once, and closes the connection with all that it holds.

The connection now writes in pieces of half the buffer and lets the handler wait until there is room, until the connection closes, or until one piece has waited for IdleTimeout; then the connection ends and the write returns os.ErrDeadlineExceeded. Buffered memory is bounded by WriteBufferBytes as before. A handler may now wait for its caller where the connection used to be cut.

On the old code (go test -race ./internal/transport/front):

TestAnswerLargerThanWriteBufferIsDelivered, fast and slow reader: answer = 0 bytes, error unexpected EOF, want bytes, no error

TestWriteEndsForCallerThatDoesNotRead guards the new wait.

--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"context"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -16,7 +18,10 @@
 	net.Conn
 
 	raw           *nbio.Conn
-	sendTimeout   time.Duration // from Close until all bytes have been sent
+	done          <-chan struct{} // closed when the connection has closed
+	room          chan struct{}   // gets a value when bytes have been sent
+	bufferBytes   int64
+	sendTimeout   time.Duration // for a wait for room, and from Close until all bytes have been sent
 	lingerTimeout time.Duration // from the last byte until the caller has closed its end
 
 	writtenBytes atomic.Int64
@@ -25,21 +30,69 @@
 	ended        bool        // the caller has been sent the end; guarded by the lock of raw
 }
 
-func newConn(raw *nbio.Conn, inner net.Conn, limits Limits) *conn {
-	return &conn{Conn: inner, raw: raw, sendTimeout: limits.IdleTimeout, lingerTimeout: limits.LingerTimeout}
+// newConn wraps a connection. Writes return when ctx ends.
+func newConn(ctx context.Context, raw *nbio.Conn, inner net.Conn, limits Limits) *conn {
+	return &conn{
+		Conn: inner, raw: raw, done: ctx.Done(), room: make(chan struct{}, 1),
+		bufferBytes: int64(limits.WriteBufferBytes), sendTimeout: limits.IdleTimeout, lingerTimeout: limits.LingerTimeout,
+	}
 }
 
-// Write queues data for the caller. It returns net.ErrClosed after Close.
+// Write queues data for the caller. It waits while the buffer is full, since the
+// library closes a connection whose buffer overflows. It returns net.ErrClosed
+// after Close and os.ErrDeadlineExceeded if the caller does not read.
 func (conn *conn) Write(data []byte) (int, error) {
+	for written := 0; written < len(data); {
+		piece := data[written:min(len(data), written+conn.pieceBytes())]
+		if err := conn.writePiece(piece); err != nil {
+			return written, err
+		}
+		written += len(piece)
+	}
+	return len(data), nil
+}
+
+// pieceBytes returns how much is written at once. Half of the buffer lets one piece
+// be sent while the next one is written.
+func (conn *conn) pieceBytes() int {
+	return max(1, int(conn.bufferBytes/2))
+}
+
+func (conn *conn) writePiece(piece []byte) error {
 	if conn.closing.Load() {
-		return 0, net.ErrClosed
+		return net.ErrClosed
 	}
-	conn.writtenBytes.Add(int64(len(data)))
-	n, err := conn.Conn.Write(data)
-	if err != nil {
-		conn.writtenBytes.Add(-int64(len(data)))
+	bytes := int64(len(piece))
+	if err := conn.waitForRoom(bytes); err != nil {
+		return err
+	}
+	conn.writtenBytes.Add(bytes)
+	if _, err := conn.Conn.Write(piece); err != nil {
+		conn.writtenBytes.Add(-bytes)
+		return err
+	}
+	return nil
+}
+
+// waitForRoom waits until the buffer can take the bytes. It ends the connection if
+// that takes longer than the send timeout.
+func (conn *conn) waitForRoom(bytes int64) error {
+	if conn.unsentBytes()+bytes <= conn.bufferBytes {
+		return nil
+	}
+	timer := time.NewTimer(conn.sendTimeout)
+	defer timer.Stop()
+	for conn.unsentBytes()+bytes > conn.bufferBytes {
+		select {
+		case <-conn.room:
+		case <-conn.done:
+			return net.ErrClosed
+		case <-timer.C:
+			conn.endBothWays()
+			return os.ErrDeadlineExceeded
+		}
 	}
-	return n, err
+	return nil
 }
 
 // Close lets the caller read what has been written and then the end of the
@@ -79,13 +132,21 @@
 
 // sending reports whether written bytes wait to be sent.
 func (conn *conn) sending() bool {
-	return conn.sentBytes.Load() < conn.writtenBytes.Load()
+	return conn.unsentBytes() > 0
+}
+
+func (conn *conn) unsentBytes() int64 {
+	return conn.writtenBytes.Load() - conn.sentBytes.Load()
 }
 
 // countSent counts bytes that the kernel has taken. The library holds the lock of
 // raw when it reports them.
 func (conn *conn) countSent(bytes int) {
 	conn.sentBytes.Add(int64(bytes))
+	select {
+	case conn.room <- struct{}{}:
+	default:
+	}
 	if conn.closing.Load() && !conn.sending() {
 		conn.end()
 	}
--- a/internal/transport/front/guard.go
+++ b/internal/transport/front/guard.go
@@ -66,9 +66,9 @@
 // running handler returns.
 func newProcessor(server *Server, parser *nbhttp.Parser, raw *nbio.Conn) *processor {
 	processor := &processor{Processor: parser.Processor, server: server, parser: parser}
-	processor.conn = newConn(raw, parser.Conn, server.limits)
-	parser.Conn = processor.conn
 	processor.ctx, processor.cancel = context.WithCancel(context.Background())
+	processor.conn = newConn(processor.ctx, raw, parser.Conn, server.limits)
+	parser.Conn = processor.conn
 	processor.queue.maxWaiting = server.limits.PipelineDepth
 	parser.Processor = processor
 	parser.Execute = processor.execute
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -29,9 +29,9 @@
 	TotalBodyBytes   int64         // bodies that are arriving or in use, all connections together
 	Connections      int           // open connections
 	PipelineDepth    int           // requests of one connection that wait for the running one
-	WriteBufferBytes int           // response bytes that are buffered for a slow caller
+	WriteBufferBytes int           // response bytes that are buffered for a slow caller; further writes wait
 	RequestTimeout   time.Duration // from the first byte of a request to its last
-	IdleTimeout      time.Duration // between requests, and from the end of a handler to the last byte of its response
+	IdleTimeout      time.Duration // between requests, for a write that waits, and from the end of a handler to the last byte of its response
 	LingerTimeout    time.Duration // from the end of a closing response until the caller must have closed its end
 }
 
--- a/internal/transport/front/server_test.go
+++ b/internal/transport/front/server_test.go
@@ -573,3 +573,44 @@
 		})
 	}
 }
+
+// Guards against answers that are cut for their size: one write beyond the buffer
+// limit closed the connection, however fast the caller read.
+func TestAnswerLargerThanWriteBufferIsDelivered(t *testing.T) {
+	cases := []struct {
+		name string
+		dial func(*testing.T, *front.Server) net.Conn
+	}{
+		{"fast reader", dial},
+		{"slow reader", dialSlowReader},
+	}
+	server := startServer(t, front.DefaultLimits(), func(w http.ResponseWriter, _ *http.Request) { writeLargeAnswer(w) })
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			conn := c.dial(t, server)
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			checkLargeAnswer(t, bufio.NewReader(conn))
+		})
+	}
+}
+
+// Guards against handlers that wait forever for a caller that does not read.
+func TestWriteEndsForCallerThatDoesNotRead(t *testing.T) {
+	limits := front.DefaultLimits()
+	limits.IdleTimeout = 100 * time.Millisecond
+	writeErrs := make(chan error, 1)
+	server := startServer(t, limits, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(largeAnswerBytes))
+		w.WriteHeader(http.StatusOK)
+		_, err := w.Write(bytes.Repeat([]byte("x"), largeAnswerBytes))
+		writeErrs <- err
+	})
+	conn := dialSlowReader(t, server)
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if err := <-writeErrs; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("Write() error = %v, want %v", err, os.ErrDeadlineExceeded)
+	}
+	if n, err := io.Copy(io.Discard, conn); n >= largeAnswerBytes || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("io.Copy() = %d bytes, %v, want a part and the end of the connection", n, err)
+	}
+}
