New connections no longer get the end of closed ones

Callers saw a new connection end without an answer or a refusal to its first request, mostly while other callers left during their answers.

Cause: nbio's poller fetches up to 1024 epoll events at once and applies each by file descriptor. When a connection is closed on another goroutine after the fetch (a handler's write that fails because the caller has left, a timer), its descriptor is free at once and the next accepted connection gets it. The poller then applies the old connection's hang-up to the new one and closes it.

The listener now converts an accepted connection itself, so that it holds its descriptor, and hands it over only after the poller of that descriptor has finished its batch: it writes a byte to a socket pair whose other end is polled by the same poller, and waits until that has been read. An event of an earlier owner cannot be in that later batch. The cost is one wake-up of the poller for each accepted connection.

--- /dev/null
+++ b/internal/transport/front/listener.go
@@ -0,0 +1,177 @@
+package front
+
+import (
+	"net"
+	"os"
+	"syscall"
+
+	"github.com/lesismal/nbio"
+)
+
+// listener accepts connections whose file descriptors are safe to be polled.
+//
+// The library fetches events in batches and applies them by descriptor. If a
+// connection is closed on another goroutine in the meantime, its descriptor may
+// belong to a new connection, which then gets the event, for instance the close,
+// of the old one. So a new connection, which holds its descriptor already, is
+// handed over only after the poller has finished its batch.
+type listener struct {
+	net.Listener
+
+	barriers []*barrier // one for each poller
+	stopped  chan struct{}
+}
+
+// newListener wraps inner for an engine that has started pollers.
+func newListener(inner net.Listener, engine *nbio.Engine) (*listener, error) {
+	listener := &listener{Listener: inner, stopped: make(chan struct{})}
+	for poller := range engine.NPoller {
+		barrier, err := newBarrier(engine, poller)
+		if err != nil {
+			listener.stop()
+			return nil, err
+		}
+		listener.barriers = append(listener.barriers, barrier)
+	}
+	return listener, nil
+}
+
+// Accept returns the next connection as a *nbio.Conn.
+func (listener *listener) Accept() (net.Conn, error) {
+	accepted, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	conn, err := nbio.NBConn(accepted)
+	if err != nil {
+		_ = accepted.Close()
+		return nil, err
+	}
+	if !listener.barriers[conn.Hash()%len(listener.barriers)].wait(listener.stopped) {
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+// stop ends an Accept that waits for a poller. The engine closes its ends of the
+// barriers.
+func (listener *listener) stop() {
+	close(listener.stopped)
+	for _, barrier := range listener.barriers {
+		_ = barrier.peer.Close()
+	}
+}
+
+// barrier is a pair of connected sockets, one of which is polled. A byte written
+// to the other one is read in a later batch than the current one.
+type barrier struct {
+	peer   net.Conn
+	passed chan struct{} // gets a value when the byte has been read
+}
+
+// newBarrier returns a barrier for the poller with this index.
+func newBarrier(engine *nbio.Engine, poller int) (*barrier, error) {
+	polled, peer, err := newSocketPair()
+	if err != nil {
+		return nil, err
+	}
+	conn, err := convertForPoller(polled, engine.NPoller, poller)
+	if err != nil {
+		_ = peer.Close()
+		return nil, err
+	}
+	barrier := &barrier{peer: peer, passed: make(chan struct{}, 1)}
+	conn.SetSession(barrier)
+	if _, err := engine.AddConn(conn); err != nil {
+		_ = peer.Close()
+		return nil, err
+	}
+	return barrier, nil
+}
+
+// wait returns after the poller has finished its batch, or returns false when
+// stopped is closed. Only one goroutine may wait at a time.
+func (barrier *barrier) wait(stopped <-chan struct{}) bool {
+	if _, err := barrier.peer.Write([]byte{0}); err != nil {
+		return false
+	}
+	select {
+	case <-barrier.passed:
+		return true
+	case <-stopped:
+		return false
+	}
+}
+
+// pass is called by the poller when it has read the byte.
+func (barrier *barrier) pass() {
+	select {
+	case barrier.passed <- struct{}{}:
+	default:
+	}
+}
+
+func newSocketPair() (polled, peer net.Conn, err error) {
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	if polled, err = connFromDescriptor(fds[0]); err != nil {
+		_ = syscall.Close(fds[1])
+		return nil, nil, err
+	}
+	if peer, err = connFromDescriptor(fds[1]); err != nil {
+		_ = polled.Close()
+		return nil, nil, err
+	}
+	return polled, peer, nil
+}
+
+func connFromDescriptor(fd int) (net.Conn, error) {
+	file := os.NewFile(uintptr(fd), "barrier")
+	defer func() { _ = file.Close() }()
+	return net.FileConn(file)
+}
+
+// convertForPoller converts conn. The library chooses the poller by the number of
+// the descriptor, which is the lowest free one, so the lower ones that belong to
+// other pollers are taken until it is done.
+func convertForPoller(conn net.Conn, pollers, poller int) (*nbio.Conn, error) {
+	var taken []*nbio.Conn
+	defer func() {
+		for _, conn := range taken {
+			_ = conn.Close()
+		}
+	}()
+	for {
+		converted, err := nbio.NBConn(conn)
+		if err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		if converted.Hash()%pollers == poller {
+			return converted, nil
+		}
+		taken = append(taken, converted)
+		if conn, err = duplicate(converted); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// duplicate returns another descriptor of the same socket.
+func duplicate(conn *nbio.Conn) (net.Conn, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	fd, dupErr := -1, error(nil)
+	if err := raw.Control(func(original uintptr) { fd, dupErr = syscall.Dup(int(original)) }); err != nil {
+		return nil, err
+	}
+	if dupErr != nil {
+		return nil, dupErr
+	}
+	return connFromDescriptor(fd)
+}
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -73,7 +73,7 @@
 	handler           http.Handler
 	engine            *nbhttp.Engine
 	address           string
-	listener          net.Listener
+	listener          *listener
 	reservedBodyBytes atomic.Int64
 	activeRequests    atomic.Int64
 	accepted          atomic.Uint64
@@ -157,6 +157,7 @@
 	server.stopOnce.Do(func() {
 		_ = server.listener.Close()
 		interrupted = server.waitForRequests(ctx)
+		server.listener.stop()
 		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
 		_ = server.engine.Shutdown(stopCtx)
@@ -212,11 +213,19 @@
 	})
 }
 
+// listen is called by the engine after its pollers have started.
 func (server *Server) listen(network, address string) (net.Listener, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), network, address)
-	server.listener = listener
-	return listener, err
+	inner, err := config.Listen(context.Background(), network, address)
+	if err != nil {
+		return nil, err
+	}
+	server.listener, err = newListener(inner, server.engine.Engine)
+	if err != nil {
+		_ = inner.Close()
+		return nil, err
+	}
+	return server.listener, nil
 }
 
 // serve runs the handler of one request, on a goroutine that no other connection
@@ -276,6 +285,10 @@
 	// detector does not know this. Reading the counter that the accept wrote
 	// makes the order visible to it.
 	_ = server.accepted.Load()
+	if barrier, ok := conn.Session().(*barrier); ok {
+		barrier.pass()
+		return
+	}
 	parser, ok := conn.Session().(*nbhttp.Parser)
 	if !ok {
 		_ = conn.Close()
--- a/internal/transport/front/server_test.go
+++ b/internal/transport/front/server_test.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -614,3 +615,61 @@
 		t.Errorf("io.Copy() = %d bytes, %v, want a part and the end of the connection", n, err)
 	}
 }
+
+// Guards against events that reach the wrong connection: when a caller left while
+// its answer was being written, the end of its connection could close a new one
+// that had got the same file descriptor.
+func TestNewConnectionsOutliveClosedOnes(t *testing.T) {
+	const callers, requests, leaverAnswerBytes = 8, 400, 3 << 20
+	server := startServer(t, front.DefaultLimits(), func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/leave" {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(leaverAnswerBytes))
+		part := make([]byte, 64<<10)
+		for written := 0; written < leaverAnswerBytes; written += len(part) {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var leavers, stayers sync.WaitGroup
+	for range callers {
+		leavers.Go(func() {
+			for ctx.Err() == nil {
+				_, _ = requestAndReset(server.Address(), "/leave")
+			}
+		})
+		stayers.Go(func() {
+			for range requests {
+				if line, err := requestAndReset(server.Address(), "/stay"); err != nil || !strings.HasPrefix(line, "HTTP/1.1 204") {
+					t.Errorf("request on a new connection: response = %q, %v, want status 204", line, err)
+					return
+				}
+			}
+		})
+	}
+	stayers.Wait()
+	cancel()
+	leavers.Wait()
+}
+
+// requestAndReset sends a request on a new connection, reads the first part of the
+// response and resets the connection.
+func requestAndReset(address, path string) (string, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(connTimeout))
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		return "", err
+	}
+	part := make([]byte, 512)
+	n, err := conn.Read(part)
+	return string(part[:n]), err
+}
