Large chunks no longer mix the answers of connections

Callers could get answers, even status lines, with bytes of other callers' answers in them, or with runs of zero bytes, while any response was written in chunks of which the library had gathered 64 KiB or more without a flush, or that were that large themselves.

Cause: nbhttp's Response.writeChunk gives its buffer back to the shared pool and then goes on appending to it and gives it back again; the next two responses share it. A small chunk after such a one starts with the old content of a buffer from the pool.

The writer that handlers get now splits chunks at 32 KiB and flushes before the library has gathered 48 KiB, counting the header, so that this code is not reached. Bodies with a Content-Length are written as before; their path was read and gives each buffer back once. Since the library's Flush hides failed writes, the writer returns net.ErrClosed after one.

On the code before (go test ./internal/transport/front), all 8 callers fail:

TestLargeChunksKeepAnswersApart: caller e: answer = 70000 bytes, 0 of them its own, error malformed chunked encoding, want 215547 bytes, no error caller d: http.ReadResponse() error = malformed MIME header: missing colon: "10000", want none

--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -26,6 +26,7 @@
 
 	writtenBytes atomic.Int64
 	sentBytes    atomic.Int64
+	failed       atomic.Bool // a write has failed
 	closing      atomic.Bool // Close has been called
 	ended        bool        // the caller has been sent the end; guarded by the lock of raw
 }
@@ -45,6 +46,7 @@
 	for written := 0; written < len(data); {
 		piece := data[written:min(len(data), written+conn.pieceBytes())]
 		if err := conn.writePiece(piece); err != nil {
+			conn.failed.Store(true)
 			return written, err
 		}
 		written += len(piece)
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -240,7 +240,7 @@
 		return
 	}
 	defer server.recoverPanic(processor.conn, processor.conn.writtenBytes.Load())
-	server.handler.ServeHTTP(writer{response}, r.WithContext(processor.ctx))
+	server.handler.ServeHTTP(&writer{response: response, request: r, conn: processor.conn}, r.WithContext(processor.ctx))
 	if strings.EqualFold(response.Header().Get("Connection"), "close") {
 		r.Close = true
 	}
@@ -267,17 +267,6 @@
 	_ = conn.Close()
 }
 
-// writer hides the ReadFrom method of the response from io.Copy, since that method
-// does not frame a body without a Content-Length.
-type writer struct {
-	response *nbhttp.Response
-}
-
-func (writer writer) Header() http.Header            { return writer.response.Header() }
-func (writer writer) WriteHeader(status int)         { writer.response.WriteHeader(status) }
-func (writer writer) Write(data []byte) (int, error) { return writer.response.Write(data) }
-func (writer writer) Flush()                         { writer.response.Flush() }
-
 // handleData replaces the engine's own data handler, so that a request that cannot
 // be parsed gets a response before its connection closes.
 func (server *Server) handleData(conn *nbio.Conn, data []byte) {
--- a/internal/transport/front/server_test.go
+++ b/internal/transport/front/server_test.go
@@ -673,3 +673,44 @@
 	n, err := conn.Read(part)
 	return string(part[:n]), err
 }
+
+// Guards against answers with the bytes of other connections: a chunk of 64 KiB or
+// more made the library use a buffer that it had already given back.
+func TestLargeChunksKeepAnswersApart(t *testing.T) {
+	const callers, requests, chunks = 8, 40, 6
+	sizes := []int{70_000, 10, 65_536, 40_000, 40_000, 1}
+	server := startServer(t, front.DefaultLimits(), func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		for i := range chunks {
+			_, _ = w.Write(bytes.Repeat([]byte(r.URL.Path[1:2]), sizes[i]))
+			if r.URL.RawQuery == "flush" {
+				w.(http.Flusher).Flush()
+			}
+		}
+	})
+	var group sync.WaitGroup
+	for caller := range callers {
+		group.Go(func() {
+			letter := string(rune('a' + caller))
+			want := bytes.Repeat([]byte(letter), 70_000+10+65_536+40_000+40_000+1)
+			for i := range requests {
+				conn := dial(t, server)
+				query := []string{"", "?flush"}[i%2]
+				_, _ = io.WriteString(conn, "GET /"+letter+query+" HTTP/1.1\r\nHost: a\r\n\r\n")
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Errorf("caller %s: http.ReadResponse() error = %.80v, want none", letter, err)
+					return
+				}
+				body, err := io.ReadAll(response.Body)
+				if err != nil || !bytes.Equal(body, want) {
+					t.Errorf("caller %s: answer = %d bytes, %d of them its own, error %v, want %d bytes, no error",
+						letter, len(body), bytes.Count(body, []byte(letter)), err, len(want))
+					return
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	group.Wait()
+}
