--- a/internal/transport/front/guard.go
+++ b/internal/transport/front/guard.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"mangopier.example/mangopier/internal/protocol/code"
@@ -32,9 +33,11 @@
 
 	server *Server
 	parser *nbhttp.Parser
+	conn   *conn
 	ctx    context.Context
 	cancel context.CancelFunc
 	queue  queue
+	active atomic.Int64 // requests that run or wait for an earlier one
 
 	mu                  sync.Mutex // held by receive and release
 	state               parseState
@@ -61,9 +64,11 @@
 // newProcessor wraps the parser's processor. It also takes over the execution of
 // handlers, since the engine would not report a closed connection until the
 // running handler returns.
-func newProcessor(server *Server, parser *nbhttp.Parser) *processor {
+func newProcessor(server *Server, parser *nbhttp.Parser, raw *nbio.Conn) *processor {
 	processor := &processor{Processor: parser.Processor, server: server, parser: parser}
 	processor.ctx, processor.cancel = context.WithCancel(context.Background())
+	processor.conn = newConn(processor.ctx, raw, parser.Conn, server.limits)
+	parser.Conn = processor.conn
 	processor.queue.maxWaiting = server.limits.PipelineDepth
 	parser.Processor = processor
 	parser.Execute = processor.execute
@@ -71,23 +76,36 @@
 	return processor
 }
 
-// closeIfIdle closes the connection if no request is arriving, waiting or running.
-// Data that arrives later is dropped.
-func (processor *processor) closeIfIdle() {
+// closeIfIdle closes the connection if no request is arriving, waiting or running
+// and no answer is on its way. It reports whether that was so. Data that arrives
+// later is dropped.
+func (processor *processor) closeIfIdle() bool {
 	processor.mu.Lock()
 	defer processor.mu.Unlock()
-	if processor.state != stateIdle || processor.queue.busy() {
-		return
+	if processor.queue.busy() || processor.conn.sending() {
+		return false
+	}
+	if processor.conn.closing.Load() {
+		return true
+	}
+	if processor.state != stateIdle {
+		return false
 	}
 	processor.state = stateRefused
-	_ = processor.parser.Conn.Close()
+	_ = processor.conn.Close()
+	return true
+}
+
+// sendsAnswer reports whether an answer is on its way and no handler is running.
+func (processor *processor) sendsAnswer() bool {
+	return processor.active.Load() == 0 && processor.conn.sending()
 }
 
 // receive parses data and responds to malformed requests with an error.
 func (processor *processor) receive(data []byte) {
 	processor.mu.Lock()
 	defer processor.mu.Unlock()
-	if processor.state == stateRefused {
+	if processor.state == stateRefused || processor.conn.closing.Load() {
 		return
 	}
 	if err := processor.parser.Parse(data); err != nil {
@@ -200,7 +218,7 @@
 		return
 	}
 	processor.state = stateIdle
-	_ = parser.Conn.SetReadDeadline(time.Time{})
+	processor.conn.clearDeadline()
 	processor.reserveBodyBytes(max(0, int64(processor.bodyBytes)-processor.reservedBytes))
 	processor.Processor.OnComplete(parser)
 	processor.reservedBytes = 0
@@ -226,18 +244,25 @@
 }
 
 // execute queues a handler after the earlier requests of the connection. It
-// returns false and refuses the request if too many are waiting.
+// returns false and refuses the request if too many are waiting. The handler is
+// not run if an earlier answer closes the connection.
 func (processor *processor) execute(handle func()) bool {
 	reserved := processor.reservedBytes
 	server := processor.server
 	server.activeRequests.Add(1)
+	processor.active.Add(1)
 	accepted := processor.queue.tryPush(func() {
+		defer processor.startIdleTimeout()
 		defer server.activeRequests.Add(-1)
+		defer processor.active.Add(-1)
 		defer server.reservedBodyBytes.Add(-reserved)
-		handle()
+		if !processor.conn.closing.Load() {
+			handle()
+		}
 	})
 	if !accepted {
 		server.activeRequests.Add(-1)
+		processor.active.Add(-1)
 		server.reservedBodyBytes.Add(-reserved)
 		processor.reservedBytes = 0
 		processor.refuse(code.Errorf(code.MalformedRequest, "more than %d pipelined requests", server.limits.PipelineDepth))
@@ -245,6 +270,16 @@
 	return accepted
 }
 
+// startIdleTimeout limits the time until the next request, unless one is arriving,
+// waiting or running.
+func (processor *processor) startIdleTimeout() {
+	processor.mu.Lock()
+	defer processor.mu.Unlock()
+	if processor.state == stateIdle && processor.active.Load() == 0 {
+		processor.conn.closeAfter(processor.server.limits.IdleTimeout)
+	}
+}
+
 func (processor *processor) checkContentLength(value string) {
 	value = strings.TrimSpace(value)
 	if processor.contentLength != "" && processor.contentLength != value {
@@ -314,14 +349,14 @@
 }
 
 // startTimer limits the time from the first byte of a request to its last. It does
-// nothing between requests or if the timer is running.
+// nothing between requests or if the timer is running. The timer refuses the
+// request after the earlier ones, whose handlers may run for longer.
 func (processor *processor) startTimer() {
 	partial := processor.state == stateHeader || processor.state == stateBody
 	if !partial || processor.timer != nil {
 		return
 	}
-	conn := processor.parser.Conn
-	_ = conn.SetReadDeadline(time.Now().Add(processor.server.limits.RequestTimeout + processor.server.limits.LingerTimeout))
+	processor.conn.clearDeadline()
 	processor.timerState.Store(timerRunning)
 	processor.timer = time.AfterFunc(processor.server.limits.RequestTimeout, processor.refuseOnTimeout)
 }
@@ -331,9 +366,8 @@
 	if !processor.timerState.CompareAndSwap(timerRunning, timerExpired) {
 		return
 	}
-	limits := processor.server.limits
-	err := code.Errorf(code.BodyTimeout, "request did not arrive whole in %v", limits.RequestTimeout)
-	processor.queue.pushUnbounded(func() { writeErrorToConn(processor.parser.Conn, err, limits.LingerTimeout) })
+	err := code.Errorf(code.BodyTimeout, "request did not arrive whole in %v", processor.server.limits.RequestTimeout)
+	processor.queue.pushUnbounded(func() { writeErrorToConn(processor.conn, err) })
 }
 
 // stopTimer stops the timer. It returns false if the timer has already refused the
@@ -348,8 +382,7 @@
 }
 
 // refuse responds with an error after the earlier requests of the connection and
-// drops the data that still arrives. The connection closes after the linger
-// timeout.
+// drops the data that still arrives. The connection closes after the response.
 func (processor *processor) refuse(err error) {
 	if processor.state == stateRefused {
 		return
@@ -360,10 +393,9 @@
 	}
 	processor.server.reservedBodyBytes.Add(-processor.reservedBytes)
 	processor.reservedBytes = 0
-	conn := processor.parser.Conn
-	processor.queue.pushUnbounded(func() { writeErrorToConn(conn, err, processor.server.limits.LingerTimeout) })
+	processor.queue.pushUnbounded(func() { writeErrorToConn(processor.conn, err) })
 }
 
 func (processor *processor) sendContinue() {
-	_, _ = processor.parser.Conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	_, _ = processor.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 }
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -17,6 +17,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"mangopier.example/mangopier/internal/protocol/code"
 )
 
 // Limits bound the sizes, counts and durations that a server accepts.
@@ -27,10 +29,10 @@
 	TotalBodyBytes   int64         // bodies that are arriving or in use, all connections together
 	Connections      int           // open connections
 	PipelineDepth    int           // requests of one connection that wait for the running one
-	WriteBufferBytes int           // response bytes that are buffered for a slow caller
+	WriteBufferBytes int           // response bytes that are buffered for a slow caller; further writes wait
 	RequestTimeout   time.Duration // from the first byte of a request to its last
-	IdleTimeout      time.Duration // between requests
-	LingerTimeout    time.Duration // from an error response that ends the connection to its close
+	IdleTimeout      time.Duration // between requests, for a write that waits, and from the end of a handler to the last byte of its response
+	LingerTimeout    time.Duration // from the end of a closing response until the caller must have closed its end
 }
 
 // DefaultLimits returns the limits that New uses unless WithLimits is given.
@@ -58,7 +60,8 @@
 }
 
 // WithPanicHandler sets a function that is called with the value of a handler's
-// panic. Only the request that panicked and its connection end.
+// panic. Only the request that panicked and its connection end. Its caller gets an
+// internal error if the response has not begun.
 func WithPanicHandler(handle func(cause any)) Option {
 	return func(server *Server) { server.onPanic = handle }
 }
@@ -70,7 +73,7 @@
 	handler           http.Handler
 	engine            *nbhttp.Engine
 	address           string
-	listener          net.Listener
+	listener          *listener
 	reservedBodyBytes atomic.Int64
 	activeRequests    atomic.Int64
 	accepted          atomic.Uint64
@@ -102,6 +105,7 @@
 	server.engine.OnAcceptError(func(error) { time.Sleep(acceptErrorBackoff) })
 	server.engine.OnOpen(func(net.Conn) { server.accepted.Add(1) })
 	server.engine.OnData(server.handleData)
+	server.engine.OnWrittenSize(countSent)
 	return server
 }
 
@@ -144,14 +148,16 @@
 	return server.accepted.Load()
 }
 
-// Stop closes the listener and idle connections, waits until no request is being
-// handled or ctx ends, and closes all connections. It returns the number of
-// requests that it interrupted.
+// Stop closes the listener and idle connections, waits until the requests that are
+// arriving or being handled have got their whole response or ctx ends, and closes
+// all connections. It returns the number of requests that it interrupted, without
+// those that had not arrived.
 func (server *Server) Stop(ctx context.Context) int64 {
 	var interrupted int64
 	server.stopOnce.Do(func() {
 		_ = server.listener.Close()
 		interrupted = server.waitForRequests(ctx)
+		server.listener.stop()
 		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
 		_ = server.engine.Shutdown(stopCtx)
@@ -159,42 +165,67 @@
 	return interrupted
 }
 
-// waitForRequests returns the number of requests that still run when ctx ends. It
-// polls, since the end of the last request is rare and does not justify a signal
-// on the path of every request.
+// waitForRequests returns the number of requests whose response has not been sent
+// when ctx ends. It polls, since the end of the last request is rare and does not
+// justify a signal on the path of every request.
 func (server *Server) waitForRequests(ctx context.Context) int64 {
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
-	for {
-		server.closeIdleConnections()
-		active := server.activeRequests.Load()
-		if active == 0 {
-			return 0
-		}
+	for !server.closeIdleConnections() {
 		select {
 		case <-ctx.Done():
-			return active
+			return server.activeRequests.Load() + server.countAnswersOnTheirWay()
 		case <-ticker.C:
 		}
 	}
+	return 0
 }
 
 // closeIdleConnections closes the connections on which no request is arriving or
-// being handled.
-func (server *Server) closeIdleConnections() {
-	server.processors.Range(func(key, _ any) bool {
-		if processor, ok := key.(*processor); ok {
-			processor.closeIfIdle()
+// being handled and no response is on its way. It reports whether these were all.
+func (server *Server) closeIdleConnections() bool {
+	allIdle := true
+	for processor := range server.eachProcessor {
+		if !processor.closeIfIdle() {
+			allIdle = false
 		}
-		return true
+	}
+	return allIdle
+}
+
+// countAnswersOnTheirWay returns the number of connections whose handlers have
+// ended but whose responses have not been sent.
+func (server *Server) countAnswersOnTheirWay() int64 {
+	var answers int64
+	for processor := range server.eachProcessor {
+		if processor.sendsAnswer() {
+			answers++
+		}
+	}
+	return answers
+}
+
+// eachProcessor is an iterator over the connections that have sent data.
+func (server *Server) eachProcessor(yield func(*processor) bool) {
+	server.processors.Range(func(key, _ any) bool {
+		processor, ok := key.(*processor)
+		return !ok || yield(processor)
 	})
 }
 
+// listen is called by the engine after its pollers have started.
 func (server *Server) listen(network, address string) (net.Listener, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), network, address)
-	server.listener = listener
-	return listener, err
+	inner, err := config.Listen(context.Background(), network, address)
+	if err != nil {
+		return nil, err
+	}
+	server.listener, err = newListener(inner, server.engine.Engine)
+	if err != nil {
+		_ = inner.Close()
+		return nil, err
+	}
+	return server.listener, nil
 }
 
 // serve runs the handler of one request, on a goroutine that no other connection
@@ -208,37 +239,34 @@
 	if !ok {
 		return
 	}
-	defer server.recoverPanic(response)
-	server.handler.ServeHTTP(writer{response}, r.WithContext(processor.ctx))
+	defer server.recoverPanic(processor.conn, processor.conn.writtenBytes.Load())
+	server.handler.ServeHTTP(&writer{response: response, request: r, conn: processor.conn}, r.WithContext(processor.ctx))
 	if strings.EqualFold(response.Header().Get("Connection"), "close") {
 		r.Close = true
 	}
 }
 
-// recoverPanic closes the connection of a handler that panicked. It reports the
-// panic unless it is http.ErrAbortHandler, which aborts a response on purpose.
-func (server *Server) recoverPanic(response *nbhttp.Response) {
+// recoverPanic closes the connection of a handler that panicked. If none of its
+// response has been written since bytesBefore, the caller gets an internal error.
+// It reports the panic unless it is http.ErrAbortHandler, which aborts a response
+// on purpose.
+func (server *Server) recoverPanic(conn *conn, bytesBefore int64) {
 	cause := recover()
 	if cause == nil {
 		return
 	}
-	if cause != http.ErrAbortHandler { //nolint:errorlint,err113 // a panic's value, by identity
-		server.onPanic(cause)
+	if cause == http.ErrAbortHandler { //nolint:errorlint,err113 // a panic's value, by identity
+		_ = conn.Close()
+		return
 	}
-	_ = response.Parser.Conn.Close()
-}
-
-// writer hides the ReadFrom method of the response from io.Copy, since that method
-// does not frame a body without a Content-Length.
-type writer struct {
-	response *nbhttp.Response
+	server.onPanic(cause)
+	if conn.writtenBytes.Load() == bytesBefore {
+		writeErrorToConn(conn, code.Errorf(code.Internal, "handler panicked"))
+		return
+	}
+	_ = conn.Close()
 }
 
-func (writer writer) Header() http.Header            { return writer.response.Header() }
-func (writer writer) WriteHeader(status int)         { writer.response.WriteHeader(status) }
-func (writer writer) Write(data []byte) (int, error) { return writer.response.Write(data) }
-func (writer writer) Flush()                         { writer.response.Flush() }
-
 // handleData replaces the engine's own data handler, so that a request that cannot
 // be parsed gets a response before its connection closes.
 func (server *Server) handleData(conn *nbio.Conn, data []byte) {
@@ -246,6 +274,10 @@
 	// detector does not know this. Reading the counter that the accept wrote
 	// makes the order visible to it.
 	_ = server.accepted.Load()
+	if barrier, ok := conn.Session().(*barrier); ok {
+		barrier.pass()
+		return
+	}
 	parser, ok := conn.Session().(*nbhttp.Parser)
 	if !ok {
 		_ = conn.Close()
@@ -253,7 +285,7 @@
 	}
 	current, ok := parser.Processor.(*processor)
 	if !ok {
-		current = newProcessor(server, parser)
+		current = newProcessor(server, parser, conn)
 	}
 	current.receive(data)
 }
