A silent stream is taken over at the first event of another run

The run that sends the first event goes on; bodies of errors are read by the goroutine of their run; an engine's error is kept until no run can answer. A caller that leaves no longer counts against an engine that was not silent for long.

--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -1,7 +1,10 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -20,22 +23,27 @@
 	ctx        context.Context //nolint:containedctx // ends with the run
 	cancel     context.CancelFunc
 	results    chan runResult // closed when the goroutine that sends on it has ended
+
+	refused    bool           // the engine did not run the request
 	response   *back.Response // nil until the run was accepted
-	pending    []byte         // beginning of an event
+	pending    []byte         // events, or the beginning of one, that the caller does not have
+	ended      error          // why the body ended, io.EOF if it is complete
+	receivedAt time.Time      // when bytes were received, or the call was sent
 }
 
 // runResult is the header of a run's response, or the next part of its body.
 type runResult struct {
 	response *back.Response
 	info     site.ResponseInfo
-	data     []byte
-	err      error // io.EOF at the end of the body
+	data     []byte // of the body; all of it if the response is an engine's error
+	err      error  // io.EOF at the end of the body
 }
 
 // startRun sends a generation to an engine. The first result of the run is the
 // header of the response.
 func (exchange *exchange) startRun(ctx context.Context, assignment place.Assignment, source promptSource, lastEventID string) *decodeRun {
-	run := &decodeRun{assignment: assignment, handle: source.handle, started: time.Now(), results: make(chan runResult, 1)}
+	now := time.Now()
+	run := &decodeRun{assignment: assignment, handle: source.handle, started: now, receivedAt: now, results: make(chan runResult, 1)}
 	run.ctx, run.cancel = context.WithCancel(ctx)
 	call := &site.Call{
 		Target: assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name,
@@ -46,8 +54,15 @@
 	}
 	go func() {
 		defer close(run.results)
-		response, info, err := exchange.send(run.ctx, call)
-		run.results <- runResult{response: response, info: info, err: err}
+		result := runResult{}
+		result.response, result.info, result.err = exchange.send(run.ctx, call)
+		if result.err == nil && !result.info.NotRun && result.response.Status != http.StatusOK {
+			result.data, result.err = readBody(result.response)
+		}
+		run.results <- result
+		if result.err == nil && result.info.NotRun {
+			discard(result.response)
+		}
 	}()
 	return run
 }
@@ -59,11 +74,11 @@
 	run.response, run.results = response, make(chan runResult)
 	go func() {
 		defer close(run.results)
-		defer func() { _ = run.response.Body.Close() }()
+		defer func() { _ = response.Body.Close() }()
+		buffer := make([]byte, streamBufferBytes)
 		for {
-			buffer := make([]byte, streamBufferBytes)
-			count, err := run.response.Body.Read(buffer)
-			if count > 0 && !run.report(runResult{data: buffer[:count]}) {
+			count, err := response.Body.Read(buffer)
+			if count > 0 && !run.report(runResult{data: bytes.Clone(buffer[:count])}) {
 				return
 			}
 			if err != nil {
@@ -85,76 +100,134 @@
 	}
 }
 
-// endRun cancels a run and waits until its goroutine has ended.
+// receive keeps a part of the body. Results that end the body set run.ended.
+func (run *decodeRun) receive(result runResult, ok bool) {
+	switch {
+	case !ok:
+		run.ended = run.ctx.Err()
+	case result.err != nil:
+		run.ended = result.err
+	default:
+		run.receivedAt = time.Now()
+		run.pending = append(run.pending, result.data...)
+	}
+}
+
+// hasEvent reports whether a complete event is pending, or the body ended as
+// complete.
+func (run *decodeRun) hasEvent() bool {
+	return bytes.Contains(run.pending, eventSeparator) || run.isComplete()
+}
+
+// isComplete reports whether the body ended as complete after the pending events.
+func (run *decodeRun) isComplete() bool {
+	return errors.Is(run.ended, io.EOF) && len(bytes.TrimSpace(run.pending)) == 0
+}
+
+// discardTimeout is how long the body of a refusal may take, so that its connection
+// can be reused.
+const discardTimeout = 20 * time.Millisecond
+
+// endRun ends a run and waits until its goroutine has ended.
 func (exchange *exchange) endRun(run *decodeRun) {
-	run.cancel()
+	if run.refused {
+		timer := time.AfterFunc(discardTimeout, run.cancel)
+		defer timer.Stop()
+	} else {
+		run.cancel()
+	}
 	for result := range run.results {
 		if result.response != nil {
 			_ = result.response.Body.Close()
 		}
 	}
+	run.cancel()
 	exchange.proxy.scheduler.Release(&run.assignment)
 }
 
-// acceptRun handles the header of a run's response. The outcome is outcomeOpened
-// if its events can be forwarded. An engine's own error goes to the caller if the
-// run is the only one and no other may follow.
-func (exchange *exchange) acceptRun(run *decodeRun, result runResult, only bool) callOutcome {
-	proxy, target := exchange.proxy, run.assignment.Target
-	if result.err != nil {
-		outcome := exchange.classifyNoStream(target, result.err, run.started)
+// classifyNoStream returns the outcome of a decode call that ended without a
+// response.
+func (generation *generation) classifyNoStream(ctx context.Context, run *decodeRun, err error) callOutcome {
+	exchange, target := generation.exchange, run.assignment.Target
+	if !exchange.mayHaveReached(target, err) {
+		exchange.recordFailedCall(target, "decode", "unreachable", err, run.started)
+		return outcomeUnsent
+	}
+	exchange.runs++
+	exchange.recordFailedCall(target, "decode", "no-answer", err, run.started)
+	generation.reportFailure(ctx, run)
+	return outcomeMayHaveRun
+}
+
+// reportFailure counts a failure of a run's engine, unless the caller left before
+// the run was silent for long.
+func (generation *generation) reportFailure(ctx context.Context, run *decodeRun) {
+	if generation.exchange.callerLeft(ctx) && time.Since(run.receivedAt) < generation.stream.silenceTimeout() {
+		return
+	}
+	generation.exchange.proxy.reportHealth(health.Observation{Target: run.assignment.Target.ID, Outcome: health.Failure})
+}
+
+// accept handles the header of a run's response. The outcome is outcomeOpened if
+// its events can be forwarded, and outcomeSucceeded if an engine's own error went to
+// the caller.
+func (generation *generation) accept(ctx context.Context, run *decodeRun, result runResult) callOutcome {
+	exchange, target := generation.exchange, run.assignment.Target
+	if result.response == nil {
+		outcome := generation.classifyNoStream(ctx, run, result.err)
 		if outcome != outcomeUnsent {
 			exchange.releaseHandle(run.handle)
 		}
 		return outcome
 	}
 	if result.info.NotRun {
-		discard(result.response)
+		run.refused = true
 		exchange.releaseHandle(run.handle)
 		exchange.recordCall(target, "decode", "not-run", run.started)
-		proxy.pauseRefusing(target, result.info)
+		exchange.proxy.pauseRefusing(target, result.info)
 		return outcomeNotRun
 	}
-	proxy.scheduler.MarkAccepted(target.ID)
+	exchange.proxy.scheduler.MarkAccepted(target.ID)
 	exchange.runs++
 	exchange.countUsage()
-	if result.response.Status != http.StatusOK {
-		return exchange.handleErrorResponse(result.response, target, run.started, only)
-	}
-	if !exchange.isAuthentic(result.response, result.info) {
+	switch {
+	case result.response.Status != http.StatusOK:
+		return generation.handleError(run, result)
+	case !exchange.isAuthentic(result.response, result.info):
 		_ = result.response.Body.Close()
 		exchange.recordCall(target, "decode", "broken", run.started)
-		proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
+		exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 		return outcomeFailed
 	}
+	run.startReading(result.response)
 	return outcomeOpened
 }
 
-// handleErrorResponse sends an engine's error to the caller, unless another run is
-// under way, the caller has the header of a response already, or the route allows
-// one more run.
-func (exchange *exchange) handleErrorResponse(response *back.Response, target site.Target, started time.Time, only bool) callOutcome {
-	body, err := readBody(response)
-	exchange.recordCall(target, "decode", "failed", started)
-	if response.Status >= http.StatusInternalServerError {
+// handleError handles an engine's own error. It goes to the caller at once if no
+// other run can answer, and otherwise if none does.
+func (generation *generation) handleError(run *decodeRun, result runResult) callOutcome {
+	exchange, target := generation.exchange, run.assignment.Target
+	exchange.recordFailedCall(target, "decode", "failed", result.err, run.started)
+	if result.response.Status >= http.StatusInternalServerError {
 		exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 	}
-	if err != nil || !only || exchange.headerSent || (exchange.route.Resumable && exchange.runs < exchange.route.MaxAttempts) {
+	if result.err != nil {
+		return outcomeFailed
+	}
+	generation.fallback = &fallbackResponse{response: result.response, body: result.data}
+	others := generation.standby != nil || (exchange.route.Resumable && exchange.runs < exchange.route.MaxAttempts)
+	if others || !generation.deliverFallback() {
 		return outcomeFailed
 	}
-	exchange.deliver(response, body)
 	return outcomeSucceeded
 }
 
-// classifyNoStream returns the outcome of a decode call that ended without a
-// response.
-func (exchange *exchange) classifyNoStream(target site.Target, err error, started time.Time) callOutcome {
-	if !exchange.mayHaveReached(target, err) {
-		exchange.recordFailedCall(target, "decode", "unreachable", err, started)
-		return outcomeUnsent
+// deliverFallback sends the caller the error of an engine. It returns false if there
+// is none, or if the caller has the header of a response already.
+func (generation *generation) deliverFallback() bool {
+	if generation.fallback == nil || generation.exchange.headerSent {
+		return false
 	}
-	exchange.runs++
-	exchange.recordFailedCall(target, "decode", "no-answer", err, started)
-	exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
-	return outcomeMayHaveRun
+	generation.exchange.deliver(generation.fallback.response, generation.fallback.body)
+	return true
 }
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -243,6 +243,11 @@
 	exchange.firstByte = time.Since(exchange.started)
 }
 
+// callerLeft reports whether the caller has gone before its deadline.
+func (exchange *exchange) callerLeft(ctx context.Context) bool {
+	return ctx.Err() != nil && exchange.remaining() > 0
+}
+
 // capacityError returns the error of a request that cannot be served in time.
 // Its retry delay is random between once and twice the given one, so that
 // callers refused together do not return together, and at most the longest
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -35,14 +35,16 @@
 	defer generation.stop()
 	if !generation.serve(ctx) {
 		exchange.releaseHandle(generation.source.handle)
-		exchange.refuse(exchange.finalError(ctx, time.Second))
+		if !generation.deliverFallback() {
+			exchange.refuse(exchange.finalError(ctx, time.Second))
+		}
 	}
 }
 
 // generation is the decode stage of a request. One run is active, and its events
 // go to the caller. If it is silent, a standby run is started that resumes the
-// stream; the active run goes on until the standby is accepted, since a silent
-// engine may be sound while the other engine may refuse.
+// stream. The first of the two to send an event goes on: a silent engine may be
+// sound, and the other one may refuse or fail.
 type generation struct {
 	exchange   *exchange
 	stream     *stream
@@ -50,6 +52,7 @@
 	dataCenter string   // of the engine that prefilled the prompt
 	tried      []string // engines that failed
 	calls      int
+	fallback   *fallbackResponse // error of an engine
 
 	active  *decodeRun
 	standby *decodeRun // nil for none
@@ -122,7 +125,8 @@
 // runActive forwards the events of the active run until it ends, and lets a
 // standby run take over if it is silent.
 func (generation *generation) runActive(ctx context.Context) callOutcome {
-	silence := time.NewTimer(generation.stream.silenceTimeout())
+	stream := generation.stream
+	silence := time.NewTimer(stream.silenceTimeout())
 	defer silence.Stop()
 	for {
 		select {
@@ -130,61 +134,76 @@
 			if outcome, ended := generation.handleActive(ctx, result, ok); ended {
 				return outcome
 			}
-			generation.dropStandby()
-		case result := <-generation.standbyResults():
-			generation.handleStandby(result)
+		case result, ok := <-generation.standbyResults():
+			generation.handleStandby(ctx, result, ok)
 		case <-silence.C:
 			generation.startStandby(ctx)
 		}
-		silence.Reset(generation.stream.silenceTimeout())
+		for generation.standby != nil && generation.standby.hasEvent() {
+			select { // the active run may have gone on at the same time
+			case result, ok := <-generation.active.results:
+				if outcome, ended := generation.handleActive(ctx, result, ok); ended {
+					return outcome
+				}
+			default:
+				if outcome, ended := generation.takeOver(ctx); ended {
+					return outcome
+				}
+			}
+		}
+		silence.Reset(stream.silenceTimeout())
 	}
 }
 
 // handleActive handles a result of the active run, and reports whether the run has
-// ended.
+// ended. The standby run is dropped once the active run has sent an event.
 func (generation *generation) handleActive(ctx context.Context, result runResult, ok bool) (callOutcome, bool) {
-	run, stream := generation.active, generation.stream
-	switch {
-	case !ok:
-		stream.endReason, stream.endErr = "broken", ctx.Err()
-		return generation.end(), true
-	case run.response == nil:
-		outcome := generation.open(run, result)
+	run := generation.active
+	if run.response == nil {
+		outcome := generation.accept(ctx, run, result)
 		return outcome, outcome != outcomeOpened
-	case len(result.data) > 0:
-		if !stream.forward(run, result.data) {
-			return generation.end(), true
-		}
-		return outcomeOpened, false
-	default:
-		outcome := stream.end(run, result.err)
-		generation.recordEnd(outcome)
-		return outcome, true
 	}
+	run.receive(result, ok)
+	writes := generation.stream.writes
+	outcome, ended := generation.forwardActive(ctx)
+	if generation.stream.writes > writes {
+		generation.dropStandby()
+	}
+	return outcome, ended
 }
 
-// end ends the active run before its response has ended.
-func (generation *generation) end() callOutcome {
-	generation.recordEnd(outcomeFailed)
-	if generation.stream.callerGone {
-		generation.exchange.refuse(code.Errorf(code.CallerGone, "the caller closed the connection"))
+// forwardActive forwards the pending events of the active run, and reports whether
+// the run has ended.
+func (generation *generation) forwardActive(ctx context.Context) (callOutcome, bool) {
+	run, stream := generation.active, generation.stream
+	switch {
+	case !stream.forward(run):
+		generation.recordEnd(ctx, outcomeFailed)
+		if stream.callerGone {
+			generation.exchange.refuse(code.Errorf(code.CallerGone, "the caller closed the connection"))
+		}
+		return outcomeFailed, true
+	case run.ended != nil:
+		outcome := stream.end(run)
+		generation.recordEnd(ctx, outcome)
+		return outcome, true
+	default:
+		return outcomeOpened, false
 	}
-	return outcomeFailed
 }
 
 // recordEnd records how the active run ended for the log, the metrics and the
 // health of its engine.
-func (generation *generation) recordEnd(outcome callOutcome) {
-	exchange, target, stream := generation.exchange, generation.active.assignment.Target, generation.stream
-	exchange.recordFailedCall(target, "decode", stream.endReason, stream.endErr, generation.active.started)
-	if stream.callerGone {
-		return
-	}
-	observation := health.Observation{Target: target.ID}
-	if outcome != outcomeSucceeded {
-		observation.Outcome = health.Failure
+func (generation *generation) recordEnd(ctx context.Context, outcome callOutcome) {
+	exchange, run, stream := generation.exchange, generation.active, generation.stream
+	exchange.recordFailedCall(run.assignment.Target, "decode", stream.endReason, stream.endErr, run.started)
+	switch {
+	case stream.callerGone:
+	case outcome == outcomeSucceeded:
+		exchange.proxy.reportHealth(health.Observation{Target: run.assignment.Target.ID})
+	default:
+		generation.reportFailure(ctx, run)
 	}
-	exchange.proxy.reportHealth(observation)
 }
 
 // startStandby starts a run that is to resume the stream of the silent active run,
@@ -211,35 +230,44 @@
 	generation.standby = generation.start(ctx, assignment, promptSource{prefiller: generation.source.prefiller})
 }
 
-// handleStandby makes the standby run the active one if its engine has accepted
-// it, and ends it otherwise.
-func (generation *generation) handleStandby(result runResult) {
+// handleStandby handles a result of the standby run, and drops the run if it cannot
+// resume the stream.
+func (generation *generation) handleStandby(ctx context.Context, result runResult, ok bool) {
 	exchange, run := generation.exchange, generation.standby
-	if generation.open(run, result) != outcomeOpened {
-		generation.tried = append(generation.tried, run.assignment.Target.ID)
-		generation.standby = nil
-		exchange.endRun(run)
+	if run.response == nil {
+		if generation.accept(ctx, run, result) != outcomeOpened {
+			generation.failStandby()
+		}
 		return
 	}
+	run.receive(result, ok)
+	if run.ended != nil && !run.hasEvent() {
+		exchange.recordFailedCall(run.assignment.Target, "decode", "broken", run.ended, run.started)
+		generation.reportFailure(ctx, run)
+		generation.failStandby()
+	}
+}
+
+// failStandby ends a standby run that failed.
+func (generation *generation) failStandby() {
+	run := generation.standby
+	generation.standby = nil
+	generation.tried = append(generation.tried, run.assignment.Target.ID)
+	generation.exchange.endRun(run)
+}
+
+// takeOver makes the standby run the active one and forwards its events.
+func (generation *generation) takeOver(ctx context.Context) (callOutcome, bool) {
+	exchange := generation.exchange
 	if generation.active.response == nil { // it may run
 		exchange.runs++
 		exchange.releaseHandle(generation.active.handle)
 	}
 	generation.stream.endReason, generation.stream.endErr = "silent", nil
-	generation.recordEnd(outcomeFailed)
+	generation.recordEnd(ctx, outcomeFailed)
 	generation.dropActive(outcomeMayHaveRun)
-	generation.active, generation.standby = run, nil
-}
-
-// open handles the header of a run's response. The outcome is outcomeOpened if its
-// events can be forwarded.
-func (generation *generation) open(run *decodeRun, result runResult) callOutcome {
-	only := run == generation.active && generation.standby == nil
-	outcome := generation.exchange.acceptRun(run, result, only)
-	if outcome == outcomeOpened {
-		run.startReading(result.response)
-	}
-	return outcome
+	generation.active, generation.standby = generation.standby, nil
+	return generation.forwardActive(ctx)
 }
 
 // dropActive ends the active run.
@@ -262,7 +290,9 @@
 		return
 	}
 	generation.standby = nil
-	generation.exchange.runs++ // it may run
+	if run.response == nil {
+		generation.exchange.runs++ // it may run
+	}
 	generation.exchange.recordCall(run.assignment.Target, "decode", "dropped", run.started)
 	generation.exchange.endRun(run)
 }
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -200,7 +200,7 @@
 // more than the time left if none may be.
 func (exchange *exchange) callTimeout() time.Duration {
 	if exchange.route.Kind != site.Safe {
-		return exchange.remaining() + minCallTimeout
+		return max(0, exchange.remaining()) + minCallTimeout
 	}
 	return max(minCallTimeout, time.Duration(callTimeoutShare*float64(exchange.route.LatencyObjective)))
 }
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -19,6 +17,7 @@
 	endReason   string // how the last run ended, for the log
 	endErr      error  // of the last run's connection, nil if it ended otherwise
 	callerGone  bool
+	writes      int       // of events
 	lastEventAt time.Time // when the last events were received
 }
 
@@ -41,11 +40,9 @@
 	return max(minSilenceTimeout, silenceGaps*route.MaxEventGap, 2*route.LatencyObjective)
 }
 
-// forward sends the complete events of a run to the caller, after data was read
-// from its response. It returns false if the stream cannot go on: the caller has
-// gone, or the run sent an event that is too large.
-func (stream *stream) forward(run *decodeRun, data []byte) bool {
-	run.pending = append(run.pending, data...)
+// forward sends the pending complete events of a run to the caller. It returns false
+// if the stream cannot go on: the caller has gone, or an event is too large.
+func (stream *stream) forward(run *decodeRun) bool {
 	end := bytes.LastIndex(run.pending, eventSeparator)
 	if end >= 0 {
 		end += len(eventSeparator)
@@ -64,11 +61,11 @@
 // end records how a run's response ended, and completes the stream if the run sent
 // all of it. An incomplete event at the end is dropped, so that the stream can be
 // resumed after the last complete one.
-func (stream *stream) end(run *decodeRun, err error) callOutcome {
-	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(run.pending)) == 0 {
+func (stream *stream) end(run *decodeRun) callOutcome {
+	if run.isComplete() {
 		return stream.complete(run.response)
 	}
-	stream.endReason, stream.endErr = "broken", err
+	stream.endReason, stream.endErr = "broken", run.ended
 	return outcomeFailed
 }
 
@@ -82,6 +79,7 @@
 		exchange.maxGap = max(exchange.maxGap, now.Sub(stream.lastEventAt))
 	}
 	stream.lastEventAt = now
+	stream.writes++
 	if _, err := exchange.w.Write(events); err != nil {
 		stream.endReason, stream.endErr, stream.callerGone = "caller-gone", err, true
 		return false
