A slow prefill goes on until another engine has the prompt ready

A second engine is asked beside the slow one, as for safe calls, and the first handle is used. If both are slow, and the budget allows it, the decode engine prefills. Everything is decided on the request's goroutine, so that there is no timer to stop.

--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/site"
+	"mangopier.example/mangopier/internal/transport/back"
 )
 
 const (
@@ -21,41 +22,240 @@
 	maxPrefills = 2
 )
 
+// prefillStage is the prefill of one request. If an engine takes much longer than
+// expected, another one is asked too; the first goes on, since it may be the only
+// one that succeeds. The first handle is used.
+type prefillStage struct {
+	exchange *exchange
+	inFlight []*prefillCall
+	results  chan prefillResult // one per call
+	tried    []string
+	sent     int // calls that engines may have received
+}
+
+// prefillCall is a call that has one engine prefill the prompt. Its goroutine sends
+// the call and reads the response; the request's own goroutine does all else.
+type prefillCall struct {
+	prefill *place.Prefill
+	started time.Time
+	cancel  context.CancelFunc
+	done    chan struct{} // closed when the goroutine has ended
+	slow    bool          // counted as a failure of the engine already
+}
+
+// prefillResult is the end of a prefill call.
+type prefillResult struct {
+	call     *prefillCall
+	response *back.Response // nil if the call failed
+	info     site.ResponseInfo
+	body     []byte
+	err      error
+}
+
 // prefill has an engine prefill the prompt, and returns the handle and that
 // engine. If no engine does, the handle is nil and the decode engine prefills
 // the prompt itself. Errors are those that the caller gets.
 func (exchange *exchange) prefill(ctx context.Context) (*site.KVHandle, site.Target, error) {
-	proxy := exchange.proxy
-	var tried []string
-	for sent := 0; sent < maxPrefills && len(tried) < maxCalls; {
-		prefill, ok := proxy.scheduler.ChoosePrefill(exchange.service.Name, exchange.request.Prompt, exchange.priority(), tried)
-		if !ok {
-			return nil, site.Target{}, nil
+	stage := &prefillStage{exchange: exchange, results: make(chan prefillResult, maxCalls)}
+	defer stage.stop()
+	prefill, ok := stage.choose()
+	if !ok {
+		return nil, site.Target{}, nil
+	}
+	if err := exchange.checkPrefillDelay(&prefill); err != nil {
+		return nil, site.Target{}, err
+	}
+	stage.send(ctx, &prefill)
+	return stage.wait(ctx)
+}
+
+// choose chooses an engine that was not asked yet.
+func (stage *prefillStage) choose() (place.Prefill, bool) {
+	exchange := stage.exchange
+	return exchange.proxy.scheduler.ChoosePrefill(exchange.service.Name, exchange.request.Prompt, exchange.priority(), stage.tried)
+}
+
+// send sends the prompt to an engine.
+func (stage *prefillStage) send(ctx context.Context, prefill *place.Prefill) {
+	exchange := stage.exchange
+	exchange.expectedWaitMS, exchange.workMS, exchange.lowerPriorityMS = prefill.WaitMS, prefill.WorkMS, prefill.LowerPriorityMS
+	exchange.cachedTokens, exchange.fetchedTokens = prefill.CachedTokens, prefill.FetchTokens
+	exchange.proxy.scheduler.BeginPrefill(prefill)
+	call := &prefillCall{prefill: prefill, started: time.Now(), done: make(chan struct{})}
+	ctx, call.cancel = context.WithCancel(ctx)
+	stage.inFlight = append(stage.inFlight, call)
+	stage.tried = append(stage.tried, prefill.Target.ID)
+	sent := &site.Call{
+		Target: prefill.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name,
+		Priority: exchange.priority(), PrefillOnly: true, KVFetchAddress: prefill.SourceAddress,
+	}
+	go func() {
+		defer close(call.done)
+		result := prefillResult{call: call}
+		result.response, result.info, result.err = exchange.send(ctx, sent)
+		if result.err == nil {
+			result.body, result.err = readBody(result.response)
 		}
-		exchange.expectedWaitMS, exchange.workMS, exchange.lowerPriorityMS = prefill.WaitMS, prefill.WorkMS, prefill.LowerPriorityMS
-		exchange.cachedTokens, exchange.fetchedTokens = prefill.CachedTokens, prefill.FetchTokens
-		if err := exchange.checkPrefillDelay(&prefill); err != nil && len(tried) == 0 {
-			return nil, site.Target{}, err
+		stage.results <- result
+	}()
+}
+
+// wait waits for the calls in flight, and asks another engine when one has failed or
+// is slow. It returns as prefill does.
+func (stage *prefillStage) wait(ctx context.Context) (*site.KVHandle, site.Target, error) {
+	exchange := stage.exchange
+	slow := time.NewTimer(stage.slowTimeout())
+	defer slow.Stop()
+	for {
+		select {
+		case result := <-stage.results:
+			handle, outcome := stage.finish(ctx, result)
+			if outcome == outcomeSucceeded {
+				return handle, result.call.prefill.Target, nil
+			}
+			if err := exchange.contextError(ctx, code.NotRun); err != nil {
+				return nil, site.Target{}, err
+			}
+			if len(stage.inFlight) > 0 {
+				continue
+			}
+			if !exchange.spendRetry(outcome) {
+				return nil, site.Target{}, exchange.capacityError(code.NoTarget, time.Second)
+			}
+			prefill, ok := stage.choose()
+			if !ok || stage.sent >= maxPrefills || len(stage.tried) >= maxCalls {
+				return nil, site.Target{}, nil
+			}
+			stage.send(ctx, &prefill)
+			slow.Reset(stage.slowTimeout())
+		case <-slow.C:
+			if stage.handleSlow(ctx) {
+				return nil, site.Target{}, nil
+			}
+			slow.Reset(stage.slowTimeout())
 		}
-		proxy.scheduler.BeginPrefill(&prefill)
-		call := &prefillCall{exchange: exchange, prefill: &prefill}
-		handle, outcome := call.do(ctx)
-		proxy.scheduler.EndPrefill(&prefill, outcome == outcomeSucceeded)
-		if outcome == outcomeSucceeded {
-			return handle, prefill.Target, nil
+	}
+}
+
+// slowTimeout returns the time until the newest call counts as slow, or until the
+// retry budget is asked again.
+func (stage *prefillStage) slowTimeout() time.Duration {
+	newest := stage.inFlight[len(stage.inFlight)-1]
+	return max(prefillTimeoutMargin, newest.slowAfter()-time.Since(newest.started))
+}
+
+func (call *prefillCall) slowAfter() time.Duration {
+	return time.Duration(prefillTimeoutFactor*call.prefill.ExpectedMS()*float64(time.Millisecond)) + prefillTimeoutMargin
+}
+
+// handleSlow asks another engine if there is one and the retry budget allows it. It
+// returns true if all that may be asked are slow and the decode engine is to prefill
+// the prompt instead.
+func (stage *prefillStage) handleSlow(ctx context.Context) bool {
+	exchange := stage.exchange
+	for _, call := range stage.inFlight {
+		if !call.slow {
+			call.slow = true
+			exchange.proxy.reportHealth(health.Observation{Target: call.prefill.Target.ID, Outcome: health.Failure})
 		}
-		tried = append(tried, prefill.Target.ID)
-		if err := exchange.contextError(ctx, code.NotRun); err != nil {
-			return nil, site.Target{}, err
+	}
+	if len(stage.inFlight) >= maxPrefills {
+		return exchange.spendRetry(outcomeNotRun)
+	}
+	prefill, ok := stage.choose()
+	if ok && stage.sent+len(stage.inFlight) < maxPrefills && len(stage.tried) < maxCalls && exchange.spendRetry(outcomeNotRun) {
+		stage.send(ctx, &prefill)
+	}
+	return false
+}
+
+// finish handles the end of a call. A prefill without a response is outcomeNotRun,
+// since repeating it is safe.
+func (stage *prefillStage) finish(ctx context.Context, result prefillResult) (*site.KVHandle, callOutcome) {
+	call := result.call
+	stage.inFlight = slices.DeleteFunc(stage.inFlight, func(other *prefillCall) bool { return other == call })
+	call.end()
+	handle, outcome := stage.classify(ctx, result)
+	if outcome != outcomeUnsent {
+		stage.sent++
+	}
+	stage.exchange.proxy.scheduler.EndPrefill(call.prefill, outcome == outcomeSucceeded)
+	return handle, outcome
+}
+
+// classify returns the handle or the outcome of a call, and records it for the log,
+// the metrics and the health of its engine.
+func (stage *prefillStage) classify(ctx context.Context, result prefillResult) (*site.KVHandle, callOutcome) {
+	exchange, call, target := stage.exchange, result.call, result.call.prefill.Target
+	if result.response == nil {
+		stage.reportFailure(ctx, call)
+		if !exchange.mayHaveReached(target, result.err) {
+			exchange.recordFailedCall(target, "prefill", "unreachable", result.err, call.started)
+			return nil, outcomeUnsent
 		}
-		if outcome != outcomeUnsent {
-			sent++
+		exchange.recordFailedCall(target, "prefill", "no-answer", result.err, call.started)
+		return nil, outcomeNotRun
+	}
+	if result.err != nil || result.response.Status != http.StatusOK {
+		exchange.recordFailedCall(target, "prefill", "refused", result.err, call.started)
+		if result.info.NotRun {
+			exchange.proxy.pauseRefusing(target, result.info)
+		} else {
+			stage.reportFailure(ctx, call)
 		}
-		if !call.retryPaid.Load() && !exchange.spendRetry(outcome) {
-			return nil, site.Target{}, exchange.capacityError(code.NoTarget, time.Second)
+		return nil, outcomeNotRun
+	}
+	exchange.proxy.scheduler.MarkAccepted(target.ID)
+	handle, err := exchange.proxy.codec.ParseKVHandle(target.Address, result.body)
+	if err != nil {
+		exchange.recordFailedCall(target, "prefill", "broken", err, call.started)
+		stage.reportFailure(ctx, call)
+		return nil, outcomeNotRun
+	}
+	if !call.slow {
+		exchange.proxy.reportHealth(health.Observation{
+			Target: target.ID, TTFB: time.Since(call.started),
+			ExpectedTTFB: time.Duration(call.prefill.ExpectedMS() * float64(time.Millisecond)),
+		})
+	}
+	exchange.recordCall(target, "prefill", "read", call.started)
+	return handle, outcomeSucceeded
+}
+
+// reportFailure counts a failure of a call's engine once, unless the caller left
+// before the call was slow.
+func (stage *prefillStage) reportFailure(ctx context.Context, call *prefillCall) {
+	if call.slow || (stage.exchange.callerLeft(ctx) && time.Since(call.started) < call.slowAfter()) {
+		return
+	}
+	stage.exchange.proxy.reportHealth(health.Observation{Target: call.prefill.Target.ID, Outcome: health.Failure})
+}
+
+// stop ends the calls in flight, and releases the prompts that were prefilled
+// nevertheless.
+func (stage *prefillStage) stop() {
+	exchange := stage.exchange
+	for _, call := range stage.inFlight {
+		call.end()
+		exchange.recordCall(call.prefill.Target, "prefill", "dropped", call.started)
+		exchange.proxy.scheduler.EndPrefill(call.prefill, false)
+	}
+	for range stage.inFlight {
+		result := <-stage.results
+		if result.err != nil || result.response.Status != http.StatusOK {
+			continue
+		}
+		if handle, err := exchange.proxy.codec.ParseKVHandle(result.call.prefill.Target.Address, result.body); err == nil {
+			exchange.releaseHandle(handle)
 		}
 	}
-	return nil, site.Target{}, nil
+	stage.inFlight = nil
+}
+
+// end cancels a call and waits until its goroutine has ended.
+func (call *prefillCall) end() {
+	call.cancel()
+	<-call.done
 }
 
 // Callers abandon a stream whose first event does not come within the longest
@@ -80,80 +280,6 @@
 	return exchange.capacityError(code.TeamOverloaded, expected-limit/2)
 }
 
-// prefillCall is a call that has one engine prefill a prompt.
-type prefillCall struct {
-	exchange  *exchange
-	prefill   *place.Prefill
-	retryPaid atomic.Bool // the call was cancelled, and its retry taken from the budget
-}
-
-// cancelSlow cancels the call once it takes much longer than expected, if the retry
-// budget allows to ask another engine. The returned function stops that.
-func (call *prefillCall) cancelSlow(cancel context.CancelFunc) (stop func()) {
-	timeout := time.Duration(prefillTimeoutFactor*call.prefill.ExpectedMS()*float64(time.Millisecond)) + prefillTimeoutMargin
-	var timer *time.Timer
-	assigned := make(chan struct{}) // closed when timer may be read
-	timer = time.AfterFunc(timeout, func() {
-		<-assigned
-		if call.exchange.spendRetry(outcomeNotRun) {
-			call.retryPaid.Store(true)
-			cancel()
-			return
-		}
-		timer.Reset(prefillTimeoutMargin)
-	})
-	close(assigned)
-	return func() { timer.Stop() }
-}
-
-// do sends the call. A prefill without a response is outcomeNotRun, since repeating
-// it is safe.
-func (call *prefillCall) do(ctx context.Context) (*site.KVHandle, callOutcome) {
-	exchange, prefill := call.exchange, call.prefill
-	proxy := exchange.proxy
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer call.cancelSlow(cancel)()
-	started := time.Now()
-	target := prefill.Target
-	response, info, err := exchange.send(ctx, &site.Call{
-		Target: target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name,
-		Priority: exchange.priority(), PrefillOnly: true, KVFetchAddress: prefill.SourceAddress,
-	})
-	if err != nil {
-		proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
-		if !exchange.mayHaveReached(target, err) {
-			exchange.recordFailedCall(target, "prefill", "unreachable", err, started)
-			return nil, outcomeUnsent
-		}
-		exchange.recordFailedCall(target, "prefill", "no-answer", err, started)
-		return nil, outcomeNotRun
-	}
-	body, err := readBody(response)
-	if err != nil || response.Status != http.StatusOK {
-		exchange.recordCall(target, "prefill", "refused", started)
-		if info.NotRun {
-			proxy.pauseRefusing(target, info)
-		} else {
-			proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
-		}
-		return nil, outcomeNotRun
-	}
-	proxy.scheduler.MarkAccepted(target.ID)
-	handle, err := proxy.codec.ParseKVHandle(target.Address, body)
-	if err != nil {
-		exchange.recordCall(target, "prefill", "broken", started)
-		proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
-		return nil, outcomeNotRun
-	}
-	proxy.reportHealth(health.Observation{
-		Target: target.ID, TTFB: time.Since(started),
-		ExpectedTTFB: time.Duration(prefill.ExpectedMS() * float64(time.Millisecond)),
-	})
-	exchange.recordCall(target, "prefill", "read", started)
-	return handle, outcomeSucceeded
-}
-
 // pauseRefusing keeps requests from an engine that refused to run one.
 func (proxy *Proxy) pauseRefusing(target site.Target, info site.ResponseInfo) {
 	if info.Misdirected {
