The idle timeout of a new connection no longer cuts its first handler

Callers whose first request on a new connection ran for longer than IdleTimeout could see the connection end without an answer.

Cause: nbhttp sets the read deadline of a new connection only after it has been added to the poller. If the first request arrives in between, the deadline is set behind the call that cleared it and runs on beside the handler.

The library's deadlines are now out of use: its idle timeout is out of reach, and each connection has a timer of its own, which nothing but this package sets. A connection that sends nothing is closed by a timer from its opening.

--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -23,6 +23,7 @@
 	bufferBytes   int64
 	sendTimeout   time.Duration // for a wait for room, and from Close until all bytes have been sent
 	lingerTimeout time.Duration // from the last byte until the caller has closed its end
+	timer         *time.Timer   // closes the connection
 
 	writtenBytes atomic.Int64
 	sentBytes    atomic.Int64
@@ -36,6 +37,7 @@
 	return &conn{
 		Conn: inner, raw: raw, done: ctx.Done(), room: make(chan struct{}, 1),
 		bufferBytes: int64(limits.WriteBufferBytes), sendTimeout: limits.IdleTimeout, lingerTimeout: limits.LingerTimeout,
+		timer: time.AfterFunc(limits.IdleTimeout, func() { _ = raw.Close() }),
 	}
 }
 
@@ -120,13 +122,13 @@
 
 // closeAfter closes the connection after the timeout, with all that is unsent.
 func (conn *conn) closeAfter(timeout time.Duration) {
-	_ = conn.raw.SetReadDeadline(time.Now().Add(timeout))
+	conn.timer.Reset(timeout)
 }
 
-// clearDeadline ends the effect of an earlier closeAfter, but not of Close, which
-// may run at the same time.
-func (conn *conn) clearDeadline() {
-	_ = conn.raw.SetReadDeadline(time.Time{})
+// keepOpen ends the effect of an earlier closeAfter, but not of Close, which may
+// run at the same time.
+func (conn *conn) keepOpen() {
+	conn.timer.Stop()
 	if conn.closing.Load() {
 		conn.closeAfter(conn.sendTimeout)
 	}
--- a/internal/transport/front/guard.go
+++ b/internal/transport/front/guard.go
@@ -65,6 +65,7 @@
 // handlers, since the engine would not report a closed connection until the
 // running handler returns.
 func newProcessor(server *Server, parser *nbhttp.Parser, raw *nbio.Conn) *processor {
+	server.stopSilenceTimer(raw)
 	processor := &processor{Processor: parser.Processor, server: server, parser: parser}
 	processor.ctx, processor.cancel = context.WithCancel(context.Background())
 	processor.conn = newConn(processor.ctx, raw, parser.Conn, server.limits)
@@ -218,7 +219,7 @@
 		return
 	}
 	processor.state = stateIdle
-	processor.conn.clearDeadline()
+	processor.conn.keepOpen()
 	processor.reserveBodyBytes(max(0, int64(processor.bodyBytes)-processor.reservedBytes))
 	processor.Processor.OnComplete(parser)
 	processor.reservedBytes = 0
@@ -233,11 +234,12 @@
 	processor.Processor.Close(parser, err)
 }
 
-// release stops the timer and returns the reserved body bytes.
+// release stops the timers and returns the reserved body bytes.
 func (processor *processor) release() {
 	processor.mu.Lock()
 	defer processor.mu.Unlock()
 	_ = processor.stopTimer()
+	processor.conn.timer.Stop()
 	processor.server.reservedBodyBytes.Add(-processor.reservedBytes)
 	processor.reservedBytes = 0
 	processor.state = stateRefused
@@ -356,7 +358,7 @@
 	if !partial || processor.timer != nil {
 		return
 	}
-	processor.conn.clearDeadline()
+	processor.conn.keepOpen()
 	processor.timerState.Store(timerRunning)
 	processor.timer = time.AfterFunc(processor.server.limits.RequestTimeout, processor.refuseOnTimeout)
 }
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -80,6 +80,7 @@
 	stopOnce          sync.Once
 	onPanic           func(cause any)
 	processors        sync.Map // keys are *processor, of connections that have sent data
+	silenceTimers     sync.Map // *time.Timer by net.Conn, of connections that have sent nothing
 }
 
 // New returns a server that serves handler on an address of the form IP:port. With
@@ -99,11 +100,12 @@
 		MaxHTTPBodySize:    server.limits.BodyBytes + readBufferBytes,
 		ReadBufferSize:     readBufferBytes,
 		MaxWriteBufferSize: server.limits.WriteBufferBytes,
-		KeepaliveTime:      server.limits.IdleTimeout,
+		KeepaliveTime:      libraryIdleTimeout,
 		SupportServerOnly:  true,
 	})
 	server.engine.OnAcceptError(func(error) { time.Sleep(acceptErrorBackoff) })
-	server.engine.OnOpen(func(net.Conn) { server.accepted.Add(1) })
+	server.engine.OnOpen(server.handleOpen)
+	server.engine.OnClose(func(conn net.Conn, _ error) { server.stopSilenceTimer(conn) })
 	server.engine.OnData(server.handleData)
 	server.engine.OnWrittenSize(countSent)
 	return server
@@ -113,6 +115,10 @@
 	readBufferBytes    = 64 << 10
 	acceptErrorBackoff = 50 * time.Millisecond
 	shutdownTimeout    = 2 * time.Second
+
+	// libraryIdleTimeout keeps the library from closing idle connections. It starts
+	// the timeout of a new connection when the first request may be running.
+	libraryIdleTimeout = 100 * 365 * 24 * time.Hour
 )
 
 func init() {
@@ -267,6 +273,24 @@
 	_ = conn.Close()
 }
 
+// handleOpen closes a new connection that sends nothing within the idle timeout. The
+// engine calls it before it reads from the connection.
+func (server *Server) handleOpen(conn net.Conn) {
+	timer := time.AfterFunc(server.limits.IdleTimeout, func() {
+		server.silenceTimers.Delete(conn)
+		_ = conn.Close()
+	})
+	server.silenceTimers.Store(conn, timer)
+	server.accepted.Add(1)
+}
+
+func (server *Server) stopSilenceTimer(conn net.Conn) {
+	value, _ := server.silenceTimers.LoadAndDelete(conn)
+	if timer, ok := value.(*time.Timer); ok {
+		timer.Stop()
+	}
+}
+
 // handleData replaces the engine's own data handler, so that a request that cannot
 // be parsed gets a response before its connection closes.
 func (server *Server) handleData(conn *nbio.Conn, data []byte) {
--- a/internal/transport/front/server_test.go
+++ b/internal/transport/front/server_test.go
@@ -714,3 +714,39 @@
 	}
 	group.Wait()
 }
+
+// Guards against lost answers: the idle timeout of a new connection was set after
+// its first request had arrived, and cut the handler.
+func TestFirstHandlerOutlastsIdleTimeout(t *testing.T) {
+	const conns = 100
+	limits := front.DefaultLimits()
+	limits.IdleTimeout = 200 * time.Millisecond
+	server := startServer(t, limits, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(3 * limits.IdleTimeout)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	var group sync.WaitGroup
+	for range conns {
+		group.Go(func() {
+			if line, err := requestAndReset(server.Address(), "/"); err != nil || !strings.HasPrefix(line, "HTTP/1.1 204") {
+				t.Errorf("response = %q, %v, want status 204", line, err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// Guards against idle connections that stay open, before their first request and
+// after an answer.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	limits := front.DefaultLimits()
+	limits.IdleTimeout = 50 * time.Millisecond
+	server := startServer(t, limits, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	for _, input := range []string{"", "G", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"} {
+		conn := dial(t, server)
+		_, _ = io.WriteString(conn, input)
+		if _, err := io.ReadAll(conn); err != nil {
+			t.Errorf("input %q: io.ReadAll() error = %v, want the end of the connection", input, err)
+		}
+	}
+}
