Connection pools of targets that are no longer used are dropped

Callers saw nothing; the memory of an instance grew with each target that ever was. Cause: Client.pools has an entry for each address, and entries were removed only when connections were silent or an answer was that of another attempt.

The first call to a new address now drops the pools without a call for the idle timeout. The number of pools grows only by such calls, so that it stays below the number of targets called within that time. Calls in flight in a dropped pool go on, and their connections are closed after them. No call of the owner is needed. A long call counts from its start, which costs a new connection at most.

--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -99,7 +99,8 @@
 	return func(client *Client) { client.attemptIDHeader, client.notRunHeader = attemptID, notRun }
 }
 
-// WithIdleTimeout sets how long an idle connection is kept, 60 s by default.
+// WithIdleTimeout sets how long an idle connection is kept, 60 s by default. The
+// pool of a target without calls for that long is dropped when another is created.
 func WithIdleTimeout(timeout time.Duration) Option {
 	return func(client *Client) { client.idleTimeout = timeout }
 }
@@ -113,7 +114,8 @@
 	attemptIDHeader string
 	notRunHeader    string
 
-	pools    sync.Map        // by address, of *http.Transport
+	pools    sync.Map        // by address, of *pool
+	created  time.Time       // from which the pools count the time of their last use
 	unpooled *http.Transport // opens a new connection for each call
 }
 
@@ -125,6 +127,7 @@
 		idleTimeout:     defaultIdleTimeout,
 		attemptIDHeader: engine.HeaderAttemptID,
 		notRunHeader:    engine.HeaderNotRun,
+		created:         time.Now(),
 	}
 	for _, opt := range opts {
 		opt(client)
@@ -170,17 +173,15 @@
 // are closed now, those in use after their calls. Later calls open new
 // connections.
 func (client *Client) DropConnections(address string) {
-	if pool, ok := client.pools.LoadAndDelete(address); ok {
-		if transport, ok := pool.(*http.Transport); ok {
-			transport.CloseIdleConnections()
-		}
+	if loaded, ok := client.pools.LoadAndDelete(address); ok {
+		asPool(loaded).transport.CloseIdleConnections()
 	}
 }
 
 // closeIdleConnections closes the idle connections to a target and keeps its pool.
 func (client *Client) closeIdleConnections(address string) {
-	if pool, ok := client.pools.Load(address); ok {
-		asTransport(pool).CloseIdleConnections()
+	if loaded, ok := client.pools.Load(address); ok {
+		asPool(loaded).transport.CloseIdleConnections()
 	}
 }
 
@@ -274,21 +275,15 @@
 	if !call.Repeatable && !call.ReuseConnection {
 		return client.unpooled
 	}
-	if pool, ok := client.pools.Load(call.Address); ok {
-		return asTransport(pool)
+	now := time.Since(client.created)
+	loaded, ok := client.pools.Load(call.Address)
+	if !ok {
+		client.dropUnusedPools(now)
+		loaded, _ = client.pools.LoadOrStore(call.Address, client.newPool(now))
 	}
-	pool, _ := client.pools.LoadOrStore(call.Address, &http.Transport{
-		DialContext:         client.dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerTarget,
-		IdleConnTimeout:     client.idleTimeout,
-		DisableCompression:  true,
-	})
-	return asTransport(pool)
-}
-
-func asTransport(pool any) *http.Transport {
-	transport, _ := pool.(*http.Transport)
-	return transport
+	pool := asPool(loaded)
+	pool.lastUsed.Store(int64(now))
+	return pool.transport
 }
 
 // newRequest returns a request whose body, even an empty one, cannot be rewound
