Test of copies: the holder's prefill ends with an answer

TestCopiesAreMadeOnlyIfHolderIsBusyForLong ended the first prefill, after 1 s, as one without an answer, so that the slowdown of the engine stayed 1, and then expected other engines to fetch its parts. A failed prefill leaves nothing to fetch, so that this beginning is wrong. The prefill now ends with an answer after the expected time, which leaves the slowdown at 1 too. The assertions and their figures are unchanged.

--- a/internal/coordination/place/fetch_test.go
+++ b/internal/coordination/place/fetch_test.go
@@ -158,8 +158,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		scheduler := newScheduler(newEngine("p1", "tas-a", site.Prefill), newEngine("p2", "tas-a", site.Prefill))
 		first := mustBegin(t, scheduler, newPrompt("dossier", 16_000))
-		time.Sleep(time.Second)
-		scheduler.EndPrefill(&first, false)
+		time.Sleep(time.Duration(first.ExpectedMS() * float64(time.Millisecond)))
+		scheduler.EndPrefill(&first, true)
 		other := "p1"
 		if first.Target.ID == "p1" {
 			other = "p2"
