Prompts are not fetched from an engine that has not prefilled them

Callers of streams waited for a second prefill that depended on the silent engine: it was told to fetch the prompt from the engine whose prefill had failed. Cause: BeginPrefill listed the prompt's parts as complete from the expected end on, and EndPrefill left them so when the prefill failed.

Parts of a prefill of this instance can now be fetched only after its engine has answered, as EndPrefill already recorded. They still count as cached from the beginning, so that prompts with the same parts go to that engine. Parts that were complete before stay fetchable when a later prefill fails.

Before, TestFailedPrefillIsNoSource failed with the failed engine as source and FetchTokens 16000, and TestSlowPrefillIsNoSource with a source during a prefill of three times the expected time. TestFailedPrefillKeepsEarlierSource passed before too.

Not covered: parts that another instance announced count as complete at the expected end, since reports do not tell how a prefill ended.

--- a/internal/coordination/place/cache.go
+++ b/internal/coordination/place/cache.go
@@ -31,7 +31,7 @@
 type cacheEntry struct {
 	hash    uint64
 	tokens  int
-	readyAt time.Time // when prefill of the part is expected to be complete
+	readyAt time.Time // when prefill of the part is expected to be complete, zero if unknown
 }
 
 func newPrefixCache(capacity int) *prefixCache {
@@ -56,7 +56,7 @@
 	tokens := 0
 	for _, part := range parts {
 		element, ok := cache.entries[part.Hash]
-		if !ok || now.Before(element.Value.(*cacheEntry).readyAt) { //nolint:forcetypeassert // the list holds entries only
+		if !ok || !element.Value.(*cacheEntry).isReady(now) { //nolint:forcetypeassert // the list holds entries only
 			return tokens
 		}
 		tokens += part.Tokens
@@ -64,8 +64,13 @@
 	return tokens
 }
 
+func (entry *cacheEntry) isReady(now time.Time) bool {
+	return !entry.readyAt.IsZero() && !now.Before(entry.readyAt)
+}
+
 // add inserts parts whose prefill completes at readyAt, or marks them as
-// recently used, and evicts the least recently used parts beyond the capacity.
+// recently used, and evicts the least recently used parts beyond the capacity. A
+// zero readyAt means that the end of the prefill is not known yet.
 func (cache *prefixCache) add(parts []hashedPart, readyAt time.Time) {
 	for i := len(parts) - 1; i >= 0; i-- {
 		cache.touch(parts[i], readyAt)
@@ -81,15 +86,23 @@
 func (cache *prefixCache) touch(part hashedPart, readyAt time.Time) {
 	if element, ok := cache.entries[part.Hash]; ok {
 		cache.lru.MoveToFront(element)
-		if entry := element.Value.(*cacheEntry); readyAt.Before(entry.readyAt) { //nolint:forcetypeassert // the list holds entries only
-			entry.readyAt = readyAt
-		}
+		element.Value.(*cacheEntry).lowerReadyAt(readyAt) //nolint:forcetypeassert // the list holds entries only
 		return
 	}
 	cache.entries[part.Hash] = cache.lru.PushFront(&cacheEntry{hash: part.Hash, tokens: part.Tokens, readyAt: readyAt})
 	cache.tokens += part.Tokens
 }
 
+// lowerReadyAt sets the earliest known time at which a prefill of the part is complete.
+func (entry *cacheEntry) lowerReadyAt(readyAt time.Time) {
+	if readyAt.IsZero() {
+		return
+	}
+	if entry.readyAt.IsZero() || readyAt.Before(entry.readyAt) {
+		entry.readyAt = readyAt
+	}
+}
+
 // hashedPart is a part of a prompt with the hash of itself and all parts
 // before it.
 type hashedPart struct {
--- a/internal/coordination/place/fetch_test.go
+++ b/internal/coordination/place/fetch_test.go
@@ -179,3 +179,52 @@
 		}
 	})
 }
+
+// Guards against telling an engine to fetch a prompt from the engine that has just
+// failed to prefill it.
+func TestFailedPrefillIsNoSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := newScheduler(newEngine("p1", "tas-a", site.Prefill), newEngine("p2", "tas-a", site.Prefill))
+		first := mustBegin(t, scheduler, newPrompt("dossier", 16_000))
+		time.Sleep(3 * time.Duration(first.ExpectedMS()*float64(time.Millisecond)))
+		scheduler.EndPrefill(&first, false)
+		second, ok := begin(scheduler, "llm", newPrompt("dossier", 16_000), 0, []string{first.Target.ID})
+		if !ok || second.SourceAddress != "" || second.FetchTokens != 0 {
+			t.Errorf("prefill after the failed one = %+v, want no source", second)
+		}
+	})
+}
+
+// Guards against telling an engine to fetch a prompt from one that takes longer than
+// expected and has not answered yet.
+func TestSlowPrefillIsNoSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := newScheduler(newEngine("p1", "tas-a", site.Prefill), newEngine("p2", "tas-a", site.Prefill))
+		first := mustBegin(t, scheduler, newPrompt("dossier", 16_000))
+		time.Sleep(3 * time.Duration(first.ExpectedMS()*float64(time.Millisecond)))
+		except := []string{first.Target.ID}
+		if early, ok := scheduler.ChoosePrefill("llm", newPrompt("dossier", 16_000), 0, except); !ok || early.FetchTokens != 0 {
+			t.Errorf("ChoosePrefill() during the slow prefill = %+v, want no source", early)
+		}
+		scheduler.EndPrefill(&first, true)
+		if late, ok := scheduler.ChoosePrefill("llm", newPrompt("dossier", 16_000), 0, except); !ok || late.FetchTokens < 12_000 {
+			t.Errorf("ChoosePrefill() after its answer = %+v, want 12000 or more tokens fetched", late)
+		}
+	})
+}
+
+// Guards against losing the source of a shared part when one of its later prompts
+// fails there, for instance since its caller left.
+func TestFailedPrefillKeepsEarlierSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := newScheduler(newEngine("p1", "tas-a", site.Prefill), newEngine("p2", "tas-a", site.Prefill))
+		first := mustBegin(t, scheduler, newPrompt("dossier", 16_000))
+		scheduler.EndPrefill(&first, true)
+		failed := mustBegin(t, scheduler, newPrompt("dossier", 16_000))
+		scheduler.EndPrefill(&failed, false)
+		next, ok := scheduler.ChoosePrefill("llm", newPrompt("dossier", 16_000), 0, []string{first.Target.ID})
+		if failed.Target.ID != first.Target.ID || !ok || next.FetchTokens < 12_000 {
+			t.Errorf("ChoosePrefill() after a failed prefill at %s = %+v, want 12000 or more tokens fetched from %s", failed.Target.ID, next, first.Target.ID)
+		}
+	})
+}
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -96,7 +96,8 @@
 }
 
 // BeginPrefill counts the work of a chosen prefill at its engine until
-// EndPrefill.
+// EndPrefill. The prompt's parts count as cached there at once, but other engines
+// can fetch them only after the engine has answered.
 func (scheduler *Scheduler) BeginPrefill(prefill *Prefill) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
@@ -106,8 +107,7 @@
 		return
 	}
 	state.ownLoad.PrefillMS[prefill.tier] += prefill.WorkMS
-	expected := time.Duration(prefill.ExpectedMS() * float64(time.Millisecond))
-	state.cache.add(prefill.parts, prefill.begun.Add(expected))
+	state.cache.add(prefill.parts, time.Time{})
 	if prefill.CachedTokens >= prefill.sharedTokens && prefill.sharedTokens > 0 {
 		return // the instance that placed the shared parts there has announced them
 	}
@@ -128,8 +128,8 @@
 	return cost
 }
 
-// EndPrefill ends the work of a prefill. If the engine answered, its slowdown
-// is updated from the time taken.
+// EndPrefill ends the work of a prefill. If the engine answered, other engines can
+// fetch the prompt's parts from it, and its slowdown is updated from the time taken.
 func (scheduler *Scheduler) EndPrefill(prefill *Prefill, answered bool) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
