Load from before a target's restart is not subtracted from the new one

Callers saw engines that were asked for more than they take. Cause: Release and EndPrefill found the load by target ID only. After a restart, or when a target was missing from the target list for a moment, requests from before were subtracted from those that began afterwards; EndPrefill also listed a prompt as cached at the engine that had lost it.

Assignment and Prefill now keep the state that counts their load, and end there. A prefill that was never counted is no longer subtracted.

Before, TestLoadFromBeforeRestartIsReleasedOnce failed with no load, want one request in flight, and TestPrefillFromBeforeRestartIsEndedOnce with a wait of 0 ms and 15999 tokens cached, want 171 ms and 0.

--- a/internal/coordination/place/place_test.go
+++ b/internal/coordination/place/place_test.go
@@ -290,3 +290,38 @@
 		t.Error("ChoosePrefill() found an engine of a service that the manifest does not list")
 	}
 }
+
+// Guards against load that is missing after a target was restarted, or was missing
+// from the target list for a moment: requests from before must not be subtracted
+// from those that began afterwards.
+func TestLoadFromBeforeRestartIsReleasedOnce(t *testing.T) {
+	engine := newEngine("d1", "tas-a", site.Decode)
+	scheduler := newScheduler(engine)
+	before, _ := scheduler.AssignDecode("llm", newPrompt("dossier", 16_000), "tas-a", nil)
+	engine.Started = engine.Started.Add(time.Hour)
+	scheduler.SetTargets([]site.Target{engine}, services)
+	if _, ok := scheduler.AssignDecode("llm", newPrompt("dossier", 16_000), "tas-a", nil); !ok {
+		t.Fatal("AssignDecode() found no engine")
+	}
+	scheduler.Release(&before)
+	report := scheduler.BuildReport(1)
+	if len(report.Loads) != 1 || report.Loads[0].InFlight != 1 {
+		t.Errorf("loads = %+v, want one request in flight at d1", report.Loads)
+	}
+}
+
+// Guards against prefill work that is missing after an engine was restarted, and
+// against cached parts of the engine before the restart.
+func TestPrefillFromBeforeRestartIsEndedOnce(t *testing.T) {
+	engine := newEngine("p1", "tas-a", site.Prefill)
+	scheduler := newScheduler(engine)
+	before := mustBegin(t, scheduler, newPrompt("before", 16_000))
+	engine.Started = engine.Started.Add(time.Hour)
+	scheduler.SetTargets([]site.Target{engine}, services)
+	after := mustBegin(t, scheduler, newPrompt("after", 8_000))
+	scheduler.EndPrefill(&before, true)
+	next, _ := scheduler.ChoosePrefill("llm", newPrompt("before", 16_000), 0, nil)
+	if next.WaitMS != after.WorkMS || next.CachedTokens != 0 {
+		t.Errorf("ChoosePrefill() = wait of %.0f ms and %d tokens cached, want %.0f ms and 0", next.WaitMS, next.CachedTokens, after.WorkMS)
+	}
+}
--- a/internal/coordination/place/plain.go
+++ b/internal/coordination/place/plain.go
@@ -37,7 +37,7 @@
 		return Assignment{}, 0, false
 	}
 	callsPerSlot := float64(best.ownLoad.InFlight+best.peerLoad.InFlight) / slotCount(best)
-	assignment := Assignment{Target: best.Target, load: Load{InFlight: 1}}
+	assignment := Assignment{Target: best.Target, load: Load{InFlight: 1}, state: best}
 	best.ownLoad.add(&assignment.load, 1)
 	return assignment, callsPerSlot, true
 }
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -44,6 +44,7 @@
 	sharedTokens int // of all parts but the last
 	tier         int
 	begun        time.Time
+	state        *targetState // that counts the work, nil before BeginPrefill
 }
 
 // ExpectedMS returns the expected time until the prefill is complete.
@@ -106,6 +107,7 @@
 	if !ok || state.cache == nil {
 		return
 	}
+	prefill.state = state
 	state.ownLoad.PrefillMS[prefill.tier] += prefill.WorkMS
 	state.cache.add(prefill.parts, time.Time{})
 	if prefill.CachedTokens >= prefill.sharedTokens && prefill.sharedTokens > 0 {
@@ -133,8 +135,8 @@
 func (scheduler *Scheduler) EndPrefill(prefill *Prefill, answered bool) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	state, ok := scheduler.targets[prefill.Target.ID]
-	if !ok {
+	state := prefill.state
+	if state == nil {
 		return
 	}
 	state.ownLoad.PrefillMS[prefill.tier] = max(0, state.ownLoad.PrefillMS[prefill.tier]-prefill.WorkMS)
@@ -192,6 +194,7 @@
 	Target     site.Target
 	TransferMS float64 // expected time to transfer the KV of the prompt, 0 for a call
 	load       Load
+	state      *targetState // that counts the load
 }
 
 // AssignDecode chooses the engine for the decode of a prompt whose prefill was
@@ -220,7 +223,7 @@
 	if best == nil {
 		return Assignment{}, false
 	}
-	assignment := Assignment{Target: best.Target, TransferMS: bestTransferMS, load: Load{InFlight: 1, KVTokens: neededTokens}}
+	assignment := Assignment{Target: best.Target, TransferMS: bestTransferMS, load: Load{InFlight: 1, KVTokens: neededTokens}, state: best}
 	best.ownLoad.add(&assignment.load, 1)
 	return assignment, true
 }
@@ -245,11 +248,12 @@
 	return cost * state.slowdown / state.weight, transferMS
 }
 
-// Release removes the load of a request or call from its target.
+// Release removes the load of a request or call from its target. It has no effect
+// on a target that was restarted meanwhile.
 func (scheduler *Scheduler) Release(assignment *Assignment) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	if state, ok := scheduler.targets[assignment.Target.ID]; ok {
-		state.ownLoad.add(&assignment.load, -1)
+	if assignment.state != nil {
+		assignment.state.ownLoad.add(&assignment.load, -1)
 	}
 }
