--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -44,6 +44,7 @@
 	sharedTokens int // of all parts but the last
 	tier         int
 	begun        time.Time
+	state        *targetState // that counts the work, nil before BeginPrefill
 }
 
 // ExpectedMS returns the expected time until the prefill is complete.
@@ -96,7 +97,8 @@
 }
 
 // BeginPrefill counts the work of a chosen prefill at its engine until
-// EndPrefill.
+// EndPrefill. The prompt's parts count as cached there at once, but other engines
+// can fetch them only after the engine has answered.
 func (scheduler *Scheduler) BeginPrefill(prefill *Prefill) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
@@ -105,9 +107,9 @@
 	if !ok || state.cache == nil {
 		return
 	}
+	prefill.state = state
 	state.ownLoad.PrefillMS[prefill.tier] += prefill.WorkMS
-	expected := time.Duration(prefill.ExpectedMS() * float64(time.Millisecond))
-	state.cache.add(prefill.parts, prefill.begun.Add(expected))
+	state.cache.add(prefill.parts, time.Time{})
 	if prefill.CachedTokens >= prefill.sharedTokens && prefill.sharedTokens > 0 {
 		return // the instance that placed the shared parts there has announced them
 	}
@@ -128,13 +130,13 @@
 	return cost
 }
 
-// EndPrefill ends the work of a prefill. If the engine answered, its slowdown
-// is updated from the time taken.
+// EndPrefill ends the work of a prefill. If the engine answered, other engines can
+// fetch the prompt's parts from it, and its slowdown is updated from the time taken.
 func (scheduler *Scheduler) EndPrefill(prefill *Prefill, answered bool) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	state, ok := scheduler.targets[prefill.Target.ID]
-	if !ok {
+	state := prefill.state
+	if state == nil {
 		return
 	}
 	state.ownLoad.PrefillMS[prefill.tier] = max(0, state.ownLoad.PrefillMS[prefill.tier]-prefill.WorkMS)
@@ -192,6 +194,7 @@
 	Target     site.Target
 	TransferMS float64 // expected time to transfer the KV of the prompt, 0 for a call
 	load       Load
+	state      *targetState // that counts the load
 }
 
 // AssignDecode chooses the engine for the decode of a prompt whose prefill was
@@ -220,7 +223,7 @@
 	if best == nil {
 		return Assignment{}, false
 	}
-	assignment := Assignment{Target: best.Target, TransferMS: bestTransferMS, load: Load{InFlight: 1, KVTokens: neededTokens}}
+	assignment := Assignment{Target: best.Target, TransferMS: bestTransferMS, load: Load{InFlight: 1, KVTokens: neededTokens}, state: best}
 	best.ownLoad.add(&assignment.load, 1)
 	return assignment, true
 }
@@ -245,11 +248,12 @@
 	return cost * state.slowdown / state.weight, transferMS
 }
 
-// Release removes the load of a request or call from its target.
+// Release removes the load of a request or call from its target. It has no effect
+// on a target that was restarted meanwhile.
 func (scheduler *Scheduler) Release(assignment *Assignment) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	if state, ok := scheduler.targets[assignment.Target.ID]; ok {
-		state.ownLoad.add(&assignment.load, -1)
+	if assignment.state != nil {
+		assignment.state.ownLoad.add(&assignment.load, -1)
 	}
 }
--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -16,6 +16,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -98,7 +99,8 @@
 	return func(client *Client) { client.attemptIDHeader, client.notRunHeader = attemptID, notRun }
 }
 
-// WithIdleTimeout sets how long an idle connection is kept, 60 s by default.
+// WithIdleTimeout sets how long an idle connection is kept, 60 s by default. The
+// pool of a target without calls for that long is dropped when another is created.
 func WithIdleTimeout(timeout time.Duration) Option {
 	return func(client *Client) { client.idleTimeout = timeout }
 }
@@ -112,7 +114,8 @@
 	attemptIDHeader string
 	notRunHeader    string
 
-	pools    sync.Map        // by address, of *http.Transport
+	pools    sync.Map        // by address, of *pool
+	created  time.Time       // from which the pools count the time of their last use
 	unpooled *http.Transport // opens a new connection for each call
 }
 
@@ -124,6 +127,7 @@
 		idleTimeout:     defaultIdleTimeout,
 		attemptIDHeader: engine.HeaderAttemptID,
 		notRunHeader:    engine.HeaderNotRun,
+		created:         time.Now(),
 	}
 	for _, opt := range opts {
 		opt(client)
@@ -134,7 +138,8 @@
 
 // Do sends a call and returns the response as soon as its headers have arrived.
 // Errors are of type *CallError. The end of ctx ends the call, and the reading of
-// the body too.
+// the body too. A call whose connection is reset closes the idle connections to
+// its target, since a target that lost its state resets them all.
 func (client *Client) Do(ctx context.Context, call *Call) (*Response, error) {
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -146,6 +151,9 @@
 	}
 	response, err := client.transportFor(call).RoundTrip(request)
 	if err != nil {
+		if isReset(err) {
+			client.closeIdleConnections(call.Address)
+		}
 		return nil, &CallError{State: callState(&sent), Err: contextCause(ctx, err)}
 	}
 	if echoedID := response.Header.Get(client.attemptIDHeader); echoedID != "" && echoedID != call.AttemptID {
@@ -165,10 +173,15 @@
 // are closed now, those in use after their calls. Later calls open new
 // connections.
 func (client *Client) DropConnections(address string) {
-	if pool, ok := client.pools.LoadAndDelete(address); ok {
-		if transport, ok := pool.(*http.Transport); ok {
-			transport.CloseIdleConnections()
-		}
+	if loaded, ok := client.pools.LoadAndDelete(address); ok {
+		asPool(loaded).transport.CloseIdleConnections()
+	}
+}
+
+// closeIdleConnections closes the idle connections to a target and keeps its pool.
+func (client *Client) closeIdleConnections(address string) {
+	if loaded, ok := client.pools.Load(address); ok {
+		asPool(loaded).transport.CloseIdleConnections()
 	}
 }
 
@@ -262,21 +275,15 @@
 	if !call.Repeatable && !call.ReuseConnection {
 		return client.unpooled
 	}
-	if pool, ok := client.pools.Load(call.Address); ok {
-		return asTransport(pool)
+	now := time.Since(client.created)
+	loaded, ok := client.pools.Load(call.Address)
+	if !ok {
+		client.dropUnusedPools(now)
+		loaded, _ = client.pools.LoadOrStore(call.Address, client.newPool(now))
 	}
-	pool, _ := client.pools.LoadOrStore(call.Address, &http.Transport{
-		DialContext:         client.dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerTarget,
-		IdleConnTimeout:     client.idleTimeout,
-		DisableCompression:  true,
-	})
-	return asTransport(pool)
-}
-
-func asTransport(pool any) *http.Transport {
-	transport, _ := pool.(*http.Transport)
-	return transport
+	pool := asPool(loaded)
+	pool.lastUsed.Store(int64(now))
+	return pool.transport
 }
 
 // newRequest returns a request whose body, even an empty one, cannot be rewound
@@ -311,6 +318,13 @@
 	return NotSent
 }
 
+// isReset reports whether the target reset the connection, or the kernel gave it up
+// since the target acknowledged no data. A plain close does not count: targets close
+// single connections that were idle for long.
+func isReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT)
+}
+
 func contextCause(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
