Requests that outlast the grace period of a stop are answered

Callers whose request was still in flight when the grace period ended saw their connection close without an answer, although deadlines reach 7.9 s and the grace period 6 to 8 s: the server closed all connections then. The proxy now ends these requests 0.2 s earlier, with 504, or 503 if no target can have run them; streams that have begun are still cut there.

--- a/internal/transport/node/stop.go
+++ b/internal/transport/node/stop.go
@@ -5,15 +5,21 @@
 	"time"
 )
 
+// answerReserve is the part of the grace period that is kept for answering requests
+// that are still in flight.
+const answerReserve = 200 * time.Millisecond
+
 // Stop drains the instance and ends it. It fails the readiness check and keeps
 // serving until the load balancer has taken the instance out of rotation, then
 // accepts no more requests and waits for those in flight, at most for the grace
-// period. It returns the number of requests that were interrupted.
+// period. Requests that last longer are ended with an error. It returns the number
+// of requests that were interrupted without an answer.
 func (node *Node) Stop() int64 {
 	deadline := time.Now().Add(node.settings.Bounds.ShutdownGrace - shutdownReserve)
 	node.stopping.Store(true)
 	node.proxy.Drain()
-	time.Sleep(min(minDrainTime, time.Until(deadline)))
+	defer time.AfterFunc(time.Until(deadline)-answerReserve, node.proxy.End).Stop()
+	time.Sleep(min(minDrainTime, time.Until(deadline)-answerReserve))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	interrupted := node.servers[0].Stop(ctx)
--- /dev/null
+++ b/internal/transport/node/stop_test.go
@@ -0,0 +1,51 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+)
+
+// Guards against closing a caller's connection without an answer when the grace
+// period of a stop ends before the deadline of the request.
+func TestStopAnswersRequestsThatOutlastGracePeriod(t *testing.T) {
+	store := newFakeStore()
+	store.put("op", "config", strings.Replace(manifest(3, "/read/"), `"TimeoutMs":2000`, `"TimeoutMs":20000`, 1))
+	taken := make(chan struct{}, 2)
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		taken <- struct{}{}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(target.Close)
+	store.put("servers", "i-1", fmt.Sprintf(`{"Service":"desk","Address":%q,"Zone":"tas-a","Slots":6,"State":"ready"}`, target.Listener.Addr()))
+	control := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(control.Close)
+	ports := [2]int{freePort(t), freePort(t)}
+	instance, settings := startNode(t, "a", "127.0.0.1", store.endpoint(t).address, control.Listener.Addr().String(), ports, &logBuffer{})
+	eventually(t, "the instance is ready", instance.Ready)
+	stopped := make(chan int64, 1)
+	go func() {
+		<-taken
+		stopped <- instance.Stop()
+	}()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+settings.ListenAddress+"/read/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = host
+	request.Header.Set("Attempt-Id", "9c41d07be2a35f68")
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	interrupted := <-stopped
+	if err != nil {
+		t.Fatalf("request that a stop interrupted: %v (%d interrupted), want status %d", err, interrupted, code.Lookup(code.TargetTimeout).Status)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != code.Lookup(code.TargetTimeout).Status {
+		t.Errorf("status = %d, want %d", response.StatusCode, code.Lookup(code.TargetTimeout).Status)
+	}
+}
--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -147,7 +147,7 @@
 
 // classifyNoStream returns the outcome of a decode call that ended without a
 // response.
-func (generation *generation) classifyNoStream(ctx context.Context, run *decodeRun, err error) callOutcome {
+func (generation *generation) classifyNoStream(run *decodeRun, err error) callOutcome {
 	exchange, target := generation.exchange, run.assignment.Target
 	if !exchange.mayHaveReached(target, err) {
 		exchange.recordFailedCall(target, "decode", "unreachable", err, run.started)
@@ -155,14 +155,14 @@
 	}
 	exchange.runs++
 	exchange.recordFailedCall(target, "decode", "no-answer", err, run.started)
-	generation.reportFailure(ctx, run)
+	generation.reportFailure(run)
 	return outcomeMayHaveRun
 }
 
 // reportFailure counts a failure of a run's engine, unless the caller left before
 // the run was silent for long.
-func (generation *generation) reportFailure(ctx context.Context, run *decodeRun) {
-	if generation.exchange.callerLeft(ctx) && time.Since(run.receivedAt) < generation.stream.silenceTimeout() {
+func (generation *generation) reportFailure(run *decodeRun) {
+	if generation.exchange.callerLeft() && time.Since(run.receivedAt) < generation.stream.silenceTimeout() {
 		return
 	}
 	generation.exchange.proxy.reportHealth(health.Observation{Target: run.assignment.Target.ID, Outcome: health.Failure})
@@ -171,10 +171,10 @@
 // accept handles the header of a run's response. The outcome is outcomeOpened if
 // its events can be forwarded, and outcomeSucceeded if an engine's own error went to
 // the caller.
-func (generation *generation) accept(ctx context.Context, run *decodeRun, result runResult) callOutcome {
+func (generation *generation) accept(run *decodeRun, result runResult) callOutcome {
 	exchange, target := generation.exchange, run.assignment.Target
 	if result.response == nil {
-		outcome := generation.classifyNoStream(ctx, run, result.err)
+		outcome := generation.classifyNoStream(run, result.err)
 		if outcome != outcomeUnsent {
 			exchange.releaseHandle(run.handle)
 		}
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -24,6 +24,8 @@
 	started  time.Time
 	deadline time.Time
 
+	callerCtx context.Context //nolint:containedctx // ends when the caller has gone
+
 	request  *site.Request
 	manifest *site.Manifest
 	route    *site.Route
@@ -211,19 +213,23 @@
 	return true
 }
 
-// contextError returns the error of a request whose deadline has passed or
-// whose caller has gone, nil for any other. Run states whether a target may
-// have run the request.
+// contextError returns the error of a request whose deadline has passed, whose
+// caller has gone or which is ended by a shutdown, nil for any other. Run states
+// whether a target may have run the request.
 func (exchange *exchange) contextError(ctx context.Context, run code.RunStatus) error {
 	switch {
 	case ctx.Err() == nil:
 		return nil
+	case exchange.callerLeft():
+		return code.Errorf(code.CallerGone, "the caller closed the connection")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && run == code.NotRun:
 		return code.Errorf(code.DeadlineTooShort, "the deadline passed before a target took the request")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return code.Errorf(code.TargetTimeout, "no complete answer before the deadline")
+	case run == code.NotRun:
+		return code.Errorf(code.ShuttingDown, "no target took the request before the instance ends")
 	default:
-		return code.Errorf(code.CallerGone, "the caller closed the connection")
+		return code.Errorf(code.TargetTimeout, "no complete answer before the instance ends")
 	}
 }
 
@@ -244,8 +250,8 @@
 }
 
 // callerLeft reports whether the caller has gone before its deadline.
-func (exchange *exchange) callerLeft(ctx context.Context) bool {
-	return ctx.Err() != nil && exchange.remaining() > 0
+func (exchange *exchange) callerLeft() bool {
+	return exchange.callerCtx.Err() != nil && exchange.remaining() > 0
 }
 
 // capacityError returns the error of a request that cannot be served in time.
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -131,22 +131,22 @@
 	for {
 		select {
 		case result, ok := <-generation.active.results:
-			if outcome, ended := generation.handleActive(ctx, result, ok); ended {
+			if outcome, ended := generation.handleActive(result, ok); ended {
 				return outcome
 			}
 		case result, ok := <-generation.standbyResults():
-			generation.handleStandby(ctx, result, ok)
+			generation.handleStandby(result, ok)
 		case <-silence.C:
 			generation.startStandby(ctx)
 		}
 		for generation.standby != nil && generation.standby.hasEvent() {
 			select { // the active run may have gone on at the same time
 			case result, ok := <-generation.active.results:
-				if outcome, ended := generation.handleActive(ctx, result, ok); ended {
+				if outcome, ended := generation.handleActive(result, ok); ended {
 					return outcome
 				}
 			default:
-				if outcome, ended := generation.takeOver(ctx); ended {
+				if outcome, ended := generation.takeOver(); ended {
 					return outcome
 				}
 			}
@@ -157,15 +157,15 @@
 
 // handleActive handles a result of the active run, and reports whether the run has
 // ended. The standby run is dropped once the active run has sent an event.
-func (generation *generation) handleActive(ctx context.Context, result runResult, ok bool) (callOutcome, bool) {
+func (generation *generation) handleActive(result runResult, ok bool) (callOutcome, bool) {
 	run := generation.active
 	if run.response == nil {
-		outcome := generation.accept(ctx, run, result)
+		outcome := generation.accept(run, result)
 		return outcome, outcome != outcomeOpened
 	}
 	run.receive(result, ok)
 	writes := generation.stream.writes
-	outcome, ended := generation.forwardActive(ctx)
+	outcome, ended := generation.forwardActive()
 	if generation.stream.writes > writes {
 		generation.dropStandby()
 	}
@@ -174,18 +174,18 @@
 
 // forwardActive forwards the pending events of the active run, and reports whether
 // the run has ended.
-func (generation *generation) forwardActive(ctx context.Context) (callOutcome, bool) {
+func (generation *generation) forwardActive() (callOutcome, bool) {
 	run, stream := generation.active, generation.stream
 	switch {
 	case !stream.forward(run):
-		generation.recordEnd(ctx, outcomeFailed)
+		generation.recordEnd(outcomeFailed)
 		if stream.callerGone {
 			generation.exchange.refuse(code.Errorf(code.CallerGone, "the caller closed the connection"))
 		}
 		return outcomeFailed, true
 	case run.ended != nil:
 		outcome := stream.end(run)
-		generation.recordEnd(ctx, outcome)
+		generation.recordEnd(outcome)
 		return outcome, true
 	default:
 		return outcomeOpened, false
@@ -194,7 +194,7 @@
 
 // recordEnd records how the active run ended for the log, the metrics and the
 // health of its engine.
-func (generation *generation) recordEnd(ctx context.Context, outcome callOutcome) {
+func (generation *generation) recordEnd(outcome callOutcome) {
 	exchange, run, stream := generation.exchange, generation.active, generation.stream
 	exchange.recordFailedCall(run.assignment.Target, "decode", stream.endReason, stream.endErr, run.started)
 	switch {
@@ -202,7 +202,7 @@
 	case outcome == outcomeSucceeded:
 		exchange.proxy.reportHealth(health.Observation{Target: run.assignment.Target.ID})
 	default:
-		generation.reportFailure(ctx, run)
+		generation.reportFailure(run)
 	}
 }
 
@@ -232,10 +232,10 @@
 
 // handleStandby handles a result of the standby run, and drops the run if it cannot
 // resume the stream.
-func (generation *generation) handleStandby(ctx context.Context, result runResult, ok bool) {
+func (generation *generation) handleStandby(result runResult, ok bool) {
 	exchange, run := generation.exchange, generation.standby
 	if run.response == nil {
-		if generation.accept(ctx, run, result) != outcomeOpened {
+		if generation.accept(run, result) != outcomeOpened {
 			generation.failStandby()
 		}
 		return
@@ -243,7 +243,7 @@
 	run.receive(result, ok)
 	if run.ended != nil && !run.hasEvent() {
 		exchange.recordFailedCall(run.assignment.Target, "decode", "broken", run.ended, run.started)
-		generation.reportFailure(ctx, run)
+		generation.reportFailure(run)
 		generation.failStandby()
 	}
 }
@@ -257,17 +257,17 @@
 }
 
 // takeOver makes the standby run the active one and forwards its events.
-func (generation *generation) takeOver(ctx context.Context) (callOutcome, bool) {
+func (generation *generation) takeOver() (callOutcome, bool) {
 	exchange := generation.exchange
 	if generation.active.response == nil { // it may run
 		exchange.runs++
 		exchange.releaseHandle(generation.active.handle)
 	}
 	generation.stream.endReason, generation.stream.endErr = "silent", nil
-	generation.recordEnd(ctx, outcomeFailed)
+	generation.recordEnd(outcomeFailed)
 	generation.dropActive(outcomeMayHaveRun)
 	generation.active, generation.standby = generation.standby, nil
-	return generation.forwardActive(ctx)
+	return generation.forwardActive()
 }
 
 // dropActive ends the active run.
--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -109,7 +109,7 @@
 	for {
 		select {
 		case result := <-stage.results:
-			handle, outcome := stage.finish(ctx, result)
+			handle, outcome := stage.finish(result)
 			if outcome == outcomeSucceeded {
 				return handle, result.call.prefill.Target, nil
 			}
@@ -171,11 +171,11 @@
 
 // finish handles the end of a call. A prefill without a response is outcomeNotRun,
 // since repeating it is safe.
-func (stage *prefillStage) finish(ctx context.Context, result prefillResult) (*site.KVHandle, callOutcome) {
+func (stage *prefillStage) finish(result prefillResult) (*site.KVHandle, callOutcome) {
 	call := result.call
 	stage.inFlight = slices.DeleteFunc(stage.inFlight, func(other *prefillCall) bool { return other == call })
 	call.end()
-	handle, outcome := stage.classify(ctx, result)
+	handle, outcome := stage.classify(result)
 	if outcome != outcomeUnsent {
 		stage.sent++
 	}
@@ -185,10 +185,10 @@
 
 // classify returns the handle or the outcome of a call, and records it for the log,
 // the metrics and the health of its engine.
-func (stage *prefillStage) classify(ctx context.Context, result prefillResult) (*site.KVHandle, callOutcome) {
+func (stage *prefillStage) classify(result prefillResult) (*site.KVHandle, callOutcome) {
 	exchange, call, target := stage.exchange, result.call, result.call.prefill.Target
 	if result.response == nil {
-		stage.reportFailure(ctx, call)
+		stage.reportFailure(call)
 		if !exchange.mayHaveReached(target, result.err) {
 			exchange.recordFailedCall(target, "prefill", "unreachable", result.err, call.started)
 			return nil, outcomeUnsent
@@ -201,7 +201,7 @@
 		if result.info.NotRun {
 			exchange.proxy.pauseRefusing(target, result.info)
 		} else {
-			stage.reportFailure(ctx, call)
+			stage.reportFailure(call)
 		}
 		return nil, outcomeNotRun
 	}
@@ -209,7 +209,7 @@
 	handle, err := exchange.proxy.codec.ParseKVHandle(target.Address, result.body)
 	if err != nil {
 		exchange.recordFailedCall(target, "prefill", "broken", err, call.started)
-		stage.reportFailure(ctx, call)
+		stage.reportFailure(call)
 		return nil, outcomeNotRun
 	}
 	if !call.slow {
@@ -224,8 +224,8 @@
 
 // reportFailure counts a failure of a call's engine once, unless the caller left
 // before the call was slow.
-func (stage *prefillStage) reportFailure(ctx context.Context, call *prefillCall) {
-	if call.slow || (stage.exchange.callerLeft(ctx) && time.Since(call.started) < call.slowAfter()) {
+func (stage *prefillStage) reportFailure(call *prefillCall) {
+	if call.slow || (stage.exchange.callerLeft() && time.Since(call.started) < call.slowAfter()) {
 		return
 	}
 	stage.exchange.proxy.reportHealth(health.Observation{Target: call.prefill.Target.ID, Outcome: health.Failure})
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -94,6 +94,8 @@
 
 	manifest     atomic.Pointer[site.Manifest]
 	draining     atomic.Bool
+	ended        context.Context //nolint:containedctx // ends when no request may run any longer
+	end          context.CancelFunc
 	retryBudgets sync.Map // service to retry budget
 	cleanups     sync.WaitGroup
 	cleanupSlots chan struct{} // semaphore of the clean-ups under way
@@ -108,6 +110,7 @@
 		logger:        zerolog.Nop(),
 		cleanupSlots:  make(chan struct{}, maxCleanups),
 	}
+	proxy.ended, proxy.end = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(proxy)
 	}
@@ -138,6 +141,10 @@
 // still served.
 func (proxy *Proxy) Drain() { proxy.draining.Store(true) }
 
+// End ends all requests in flight, as if their deadlines had passed. Their callers
+// get an error that says whether they may have run.
+func (proxy *Proxy) End() { proxy.end() }
+
 // Wait blocks until the background calls that release prefilled prompts have
 // ended.
 func (proxy *Proxy) Wait() { proxy.cleanups.Wait() }
@@ -152,8 +159,10 @@
 		exchange.refuse(err)
 		return
 	}
+	exchange.callerCtx = r.Context()
 	ctx, cancel := context.WithDeadline(r.Context(), exchange.deadline)
 	defer cancel()
+	defer context.AfterFunc(proxy.ended, cancel)()
 	if exchange.request.Prompt != nil && exchange.service.Engine != nil {
 		exchange.serveGeneration(ctx)
 		return
