--- /dev/null
+++ b/internal/transport/node/link_test.go
@@ -0,0 +1,183 @@
+package node_test
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// linkFault is what a network partition does to the connections of a link.
+type linkFault int
+
+// Faults of links.
+const (
+	linkHangs   linkFault = iota // nothing passes, and new connections get no answer
+	linkResets                   // connections are reset and refused
+	linkRefuses                  // connections live on, new ones are refused
+)
+
+// link forwards TCP connections from one instance to one target, and can be cut.
+type link struct {
+	t       *testing.T
+	address netip.AddrPort
+	target  string
+
+	mutex    sync.Mutex
+	listener net.Listener // nil while new connections are not accepted
+	backlog  int          // descriptor of a listener whose queue is full, -1 if there is none
+	fillers  []net.Conn   // fill that queue
+	conns    map[net.Conn]bool
+	silent   chan struct{} // closed while bytes pass; replaced while they do not
+}
+
+// newLink returns a link to the target at the given address, on any free port.
+func newLink(t *testing.T, target string) *link {
+	t.Helper()
+	link := &link{t: t, target: target, backlog: -1, conns: map[net.Conn]bool{}, silent: make(chan struct{})}
+	close(link.silent)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	link.address = netip.MustParseAddrPort(listener.Addr().String())
+	link.listener = listener
+	go link.accept(listener)
+	t.Cleanup(link.close)
+	return link
+}
+
+func (link *link) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		target, err := net.Dial("tcp", link.target)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		link.mutex.Lock()
+		link.conns[conn], link.conns[target] = true, true
+		link.mutex.Unlock()
+		go link.copy(conn, target)
+		go link.copy(target, conn)
+	}
+}
+
+// copy forwards the bytes of one direction until either end closes.
+func (link *link) copy(dst, src net.Conn) {
+	defer func() { _ = dst.Close() }()
+	buffer := make([]byte, 32<<10)
+	for {
+		count, err := src.Read(buffer)
+		link.mutex.Lock()
+		silent := link.silent
+		link.mutex.Unlock()
+		<-silent
+		if count > 0 {
+			if _, err := dst.Write(buffer[:count]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// cut applies a fault until heal.
+func (link *link) cut(fault linkFault) {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	_ = link.listener.Close()
+	link.listener = nil
+	switch fault {
+	case linkHangs:
+		link.silent = make(chan struct{})
+		link.fillBacklog()
+	case linkResets:
+		for conn := range link.conns {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+		link.conns = map[net.Conn]bool{}
+	case linkRefuses:
+	}
+}
+
+// fillBacklog listens without accepting. Once the queue of connections is full, the
+// kernel does not answer further ones.
+func (link *link) fillBacklog() {
+	descriptor, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		link.t.Error(err)
+		return
+	}
+	link.backlog = descriptor
+	_ = syscall.SetsockoptInt(descriptor, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	address := &syscall.SockaddrInet4{Port: int(link.address.Port()), Addr: link.address.Addr().As4()}
+	if err := syscall.Bind(descriptor, address); err != nil {
+		link.t.Error(err)
+	}
+	if err := syscall.Listen(descriptor, 0); err != nil {
+		link.t.Error(err)
+	}
+	for {
+		conn, err := net.DialTimeout("tcp", link.address.String(), 100*time.Millisecond)
+		if err != nil {
+			return
+		}
+		link.fillers = append(link.fillers, conn)
+	}
+}
+
+// heal ends a fault. Connections that were silent go on.
+func (link *link) heal() {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	link.dropBacklog()
+	listener, err := net.Listen("tcp4", link.address.String())
+	if err != nil {
+		link.t.Error(err)
+		return
+	}
+	link.listener = listener
+	go link.accept(listener)
+	select {
+	case <-link.silent:
+	default:
+		close(link.silent)
+	}
+}
+
+func (link *link) dropBacklog() {
+	if link.backlog >= 0 {
+		_ = syscall.Close(link.backlog)
+		link.backlog = -1
+	}
+	for _, conn := range link.fillers {
+		_ = conn.Close()
+	}
+	link.fillers = nil
+}
+
+func (link *link) close() {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	link.dropBacklog()
+	if link.listener != nil {
+		_ = link.listener.Close()
+	}
+	for conn := range link.conns {
+		_ = conn.Close()
+	}
+	select {
+	case <-link.silent:
+	default:
+		close(link.silent)
+	}
+}
