One CBOR codec for the Connect calls between instances

The codec of the mirrors moves to internal/protocol/codec, so that other calls between instances can use it.

--- a/internal/transport/mirror/mirror.go
+++ b/internal/transport/mirror/mirror.go
@@ -15,10 +15,10 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/fxamacker/cbor/v2"
 
 	"mangopier.example/mangopier/internal/coordination/follow"
 	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/codec"
 	"mangopier.example/mangopier/internal/state/table"
 )
 
@@ -42,18 +42,6 @@
 	AgeMS    int64          `cbor:"5,keyasint"` // time since the last response of the mirror's own source
 }
 
-// codec encodes messages as CBOR. It implements connect.Codec.
-type codec struct{}
-
-// Name returns the codec's name in the content type.
-func (codec) Name() string { return "cbor" }
-
-// Marshal returns the CBOR encoding of a message.
-func (codec) Marshal(message any) ([]byte, error) { return cbor.Marshal(message) }
-
-// Unmarshal decodes CBOR data into a message.
-func (codec) Unmarshal(data []byte, message any) error { return cbor.Unmarshal(data, message) }
-
 // maxLoggedChanges is how many changes of a table are kept for readers. A reader
 // that is further behind gets all rows.
 const maxLoggedChanges = 512
@@ -126,7 +114,7 @@
 
 // Handler returns the path of the Watch call and its handler.
 func (mirror *Mirror) Handler() (string, http.Handler) {
-	return procedure, connect.NewUnaryHandler(procedure, mirror.watch, connect.WithCodec(codec{}))
+	return procedure, connect.NewUnaryHandler(procedure, mirror.watch, connect.WithCodec(codec.CBOR{}))
 }
 
 func (mirror *Mirror) watch(ctx context.Context, request *connect.Request[WatchRequest]) (*connect.Response[WatchResponse], error) {
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -11,6 +11,7 @@
 
 	"mangopier.example/mangopier/internal/coordination/follow"
 	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/codec"
 	"mangopier.example/mangopier/internal/state/table"
 	"mangopier.example/mangopier/internal/transport/dial"
 )
@@ -62,7 +63,7 @@
 func (client *Client) watch(ctx context.Context, address string, message *WatchRequest) (*WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(message.WaitMS)*time.Millisecond+watchTimeoutSlack)
 	defer cancel()
-	call := connect.NewClient[WatchRequest, WatchResponse](client.http, "http://"+address+procedure, connect.WithCodec(codec{}))
+	call := connect.NewClient[WatchRequest, WatchResponse](client.http, "http://"+address+procedure, connect.WithCodec(codec.CBOR{}))
 	response, err := call.CallUnary(ctx, connect.NewRequest(message))
 	if err != nil {
 		return nil, code.Wrap(err, code.PeerUnreachable, "mirror "+address)
