An instance can have another one run a caller's request

An instance that reaches no target of a service has no way to get a caller's request to them, though other instances may reach them. Package detour offers the call: a Connect stream that returns status and header, then each part of the body as it is written, and that ends without an error only if the response is complete. The caller's API key is not sent. Nothing uses the package yet.

--- /dev/null
+++ b/internal/transport/detour/detour.go
@@ -0,0 +1,63 @@
+// Package detour lets an instance that reaches no target of a service have another
+// instance run a caller's request. Server is the side that runs requests, Client
+// the side that sends them.
+//
+// A call is one Connect stream: the peer sends the status and the header of the
+// response, then the parts of its body as they are written. Only a stream that ends
+// without an error is a complete response.
+package detour
+
+import (
+	"time"
+
+	"mangopier.example/mangopier/internal/protocol/site"
+)
+
+// procedure is the Connect path of the only call.
+const procedure = "/mangopier.detour.v1.Detour/Serve"
+
+// wireRequest is the wire format of a site.ForwardedRequest. The types within it
+// are encoded with the names of their fields.
+type wireRequest struct {
+	Request         site.Request `cbor:"1,keyasint"` // without the caller's API key
+	Route           site.Route   `cbor:"2,keyasint"`
+	Team            site.Team    `cbor:"3,keyasint"`
+	Service         string       `cbor:"4,keyasint"`
+	ManifestVersion int64        `cbor:"5,keyasint"`
+	TimeoutNS       int64        `cbor:"6,keyasint"`
+	Runs            int          `cbor:"7,keyasint"`
+}
+
+// wireResponse is the first message of a response, which holds the status and the
+// header, or a later one, which holds a part of the body.
+type wireResponse struct {
+	Status int                 `cbor:"1,keyasint,omitempty"`
+	Header map[string][]string `cbor:"2,keyasint,omitempty"`
+	Body   []byte              `cbor:"3,keyasint,omitempty"`
+}
+
+func newWireRequest(request *site.ForwardedRequest) *wireRequest {
+	wireRequest := &wireRequest{
+		Request:         request.Request,
+		Route:           request.Route,
+		Team:            request.Team,
+		Service:         request.Service,
+		ManifestVersion: request.ManifestVersion,
+		TimeoutNS:       request.Timeout.Nanoseconds(),
+		Runs:            request.Runs,
+	}
+	wireRequest.Request.APIKey = ""
+	return wireRequest
+}
+
+func (wireRequest *wireRequest) forwardedRequest() *site.ForwardedRequest {
+	return &site.ForwardedRequest{
+		Request:         wireRequest.Request,
+		Route:           wireRequest.Route,
+		Team:            wireRequest.Team,
+		Service:         wireRequest.Service,
+		ManifestVersion: wireRequest.ManifestVersion,
+		Timeout:         time.Duration(wireRequest.TimeoutNS),
+		Runs:            wireRequest.Runs,
+	}
+}
