Instances that reach no target have their requests run by others

No instance knew that it was cut off itself, and none that knew could have served.

reach.Tracker suspects a service when nothing came from any of its targets for 0.4 s while calls to at least two hang or cannot connect, and takes it for lost when two connects fail as well; a connect each 0.5 s finds the way back. Requests for a lost service, and requests that meet targets which do not take connections, go to another instance by the detour protocol: one hop, the caller's deadline, without the key, with the route and the team that this instance has decided on. Heartbeats tell which services an instance does not reach, so that none asks one that is cut off too; if none reaches the service, the caller is refused at once. A forwarded call that may have run is not repeated unless the route allows it; usage is counted where the request runs.

Ruled out for now: failing the readiness check, since callers keep their connections and most of a data centre may be cut off.

--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -194,6 +194,16 @@
 	return backoff
 }
 
+// EndBackoff lets a target get new work again at once after connections to it could
+// not be made.
+func (scheduler *Scheduler) EndBackoff(id string) {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	if state, ok := scheduler.targets[id]; ok && state.connectFailures > 0 {
+		state.connectFailures, state.pausedUntil = 0, time.Time{}
+	}
+}
+
 // MarkReachable records that a target answered, which resets its backoff.
 func (scheduler *Scheduler) MarkReachable(id string) {
 	scheduler.mutex.Lock()
--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -195,6 +195,16 @@
 	})
 }
 
+// Connect makes a connection to an address and closes it. It returns an error if no
+// connection can be made.
+func (client *Client) Connect(ctx context.Context, address string) error {
+	conn, err := client.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // Probe requests the load report of a target on a new connection and reports
 // whether it returned status 200 within the probe timeout.
 func (client *Client) Probe(ctx context.Context, address string) bool {
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -189,6 +189,18 @@
 	mesh.broadcastNext = true
 }
 
+// HasAddress reports whether a known instance has an IP address.
+func (mesh *Mesh) HasAddress(address netip.Addr) bool {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	for _, member := range mesh.members {
+		if member.Address.Addr() == address {
+			return true
+		}
+	}
+	return false
+}
+
 // IsLocal reports whether an instance is known to be in the same data centre.
 func (mesh *Mesh) IsLocal(instance string) bool {
 	mesh.mutex.Lock()
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -26,6 +26,10 @@
 	StageChangesMS  map[string]int64     `cbor:"7,keyasint,omitempty"` // remaining time without requests, by ID of the engine that changes its stage
 	ClockOffsetNS   int64                `cbor:"6,keyasint,omitempty"` // from the store's monotonic clock to the time of day, 0 if unknown
 
+	// AcceptsForwarded states that the instance runs requests that others forward.
+	AcceptsForwarded bool     `cbor:"12,keyasint,omitempty"`
+	LostServices     []string `cbor:"11,keyasint,omitempty"` // that the instance does not reach, or only with difficulty
+
 	// A message with one of these is no heartbeat.
 	UsageQuery  *usageQuery  `cbor:"9,keyasint,omitempty"`
 	UsageAnswer *usageAnswer `cbor:"10,keyasint,omitempty"`
@@ -41,6 +45,7 @@
 	message := heartbeat{
 		Instance: node.settings.Instance, BootID: node.bootID, DataCenter: node.settings.DataCenter,
 		LoadReport: node.scheduler.BuildReport(rounds), Usage: node.meter.Snapshot(),
+		AcceptsForwarded: !node.stopping.Load(), LostServices: node.unreachedServices(),
 	}
 	if rounds == 1 { // the last heartbeat of this round
 		node.scheduler.EndReportRound()
@@ -93,6 +98,7 @@
 	}
 	node.mesh.Add(mesh.Member{Instance: message.Instance, DataCenter: message.DataCenter, Address: from})
 	node.mesh.RecordHeartbeat(message.Instance)
+	node.detours.update(message.Instance, peerReach{accepts: message.AcceptsForwarded, services: message.LostServices})
 	node.pauseEngines(message.StageChangesMS)
 	node.scheduler.MergeReport(message.Instance, message.LoadReport)
 	if manifest := node.proxy.Manifest(); manifest == nil || manifest.Version < message.ManifestVersion {
--- a/internal/transport/node/internal.go
+++ b/internal/transport/node/internal.go
@@ -28,6 +28,7 @@
 	}
 	mirrors := http.NewServeMux()
 	mirrors.Handle(node.mirror.Handler())
+	mirrors.Handle(node.detourServer.Handler())
 	return node.startInternalServer(node.settings.PeerPort, mirrors)
 }
 
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,12 +23,14 @@
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/lease"
 	"mangopier.example/mangopier/internal/coordination/place"
+	"mangopier.example/mangopier/internal/coordination/reach"
 	"mangopier.example/mangopier/internal/coordination/tally"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/site"
 	"mangopier.example/mangopier/internal/state/roster"
 	"mangopier.example/mangopier/internal/state/table"
 	"mangopier.example/mangopier/internal/transport/back"
+	"mangopier.example/mangopier/internal/transport/detour"
 	"mangopier.example/mangopier/internal/transport/front"
 	"mangopier.example/mangopier/internal/transport/mesh"
 	"mangopier.example/mangopier/internal/transport/mirror"
@@ -120,6 +123,9 @@
 	proxy           *proxy.Proxy
 	roster          *roster.Roster
 	mesh            *mesh.Mesh
+	reach           *reach.Tracker
+	detours         *detours
+	detourServer    *detour.Server
 	mirror          *mirror.Mirror
 	lease           *lease.Lease
 	duties          *duty.Runner
@@ -127,6 +133,7 @@
 	internalServers []*http.Server    // metrics and mirror
 	internalDone    []<-chan struct{} // closed when the internal servers have ended
 
+	updateMutex    sync.Mutex // held while a pair of manifest and targets is applied
 	targets        atomic.Pointer[[]site.Target]
 	stopping       atomic.Bool
 	requestSeen    atomic.Bool // a request has begun, here or at a peer
@@ -153,13 +160,16 @@
 	node.client = back.New(
 		back.WithHeaderNames(codec.AttemptHeader(), codec.NotRunHeader()),
 		back.WithIdleTimeout(targetIdleTimeout))
-	node.proxy = proxy.New(codec, node.client, node.scheduler, node.health, node,
-		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
-		proxy.WithInstanceCount(node.retryInstanceCount))
-	node.roster = roster.New(codec.DecodeTarget, node.setTargets, logger)
 	node.mesh = mesh.New(
 		mesh.Member{Instance: settings.Instance, DataCenter: settings.DataCenter},
 		mesh.Callbacks{Compose: node.composeHeartbeat, Receive: node.receiveHeartbeat, MemberDown: node.scheduler.RemoveReport}, logger)
+	node.reach = reach.New(reach.WithLogger(logger))
+	node.detours = newDetours(node.mesh)
+	node.proxy = proxy.New(codec, node.client, node.scheduler, node.health, node,
+		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
+		proxy.WithInstanceCount(node.retryInstanceCount), proxy.WithPeers(node.detours, node.reach))
+	node.detourServer = node.newDetourServer()
+	node.roster = roster.New(codec.DecodeTarget, node.setTargets, logger)
 	node.mirror = mirror.New()
 	node.lease = lease.New(store, leaseName, settings.Instance,
 		lease.WithDuration(settings.Bounds.LeaseDuration), lease.WithLogger(logger),
@@ -184,7 +194,7 @@
 	client := mirror.NewClient()
 	manifests := node.follow(manifestTable, node.store.ManifestSource(), manifestApplier{node}, client)
 	targets := node.follow(targetTable, node.store.TargetSource(), node.roster, client)
-	node.loopsDone = append(node.loopsDone, manifests.Start(ctx), targets.Start(ctx), node.syncMembers(ctx), node.fetchNewerManifests(ctx, client), node.duties.Start(ctx))
+	node.loopsDone = append(node.loopsDone, manifests.Start(ctx), targets.Start(ctx), node.syncMembers(ctx), node.fetchNewerManifests(ctx, client), node.probeTargets(ctx), node.duties.Start(ctx))
 	node.leaseDone = node.lease.Start(ctx)
 	return nil
 }
@@ -266,10 +276,15 @@
 
 func (node *Node) setTargets(targets []site.Target) {
 	node.targets.Store(&targets)
+	node.reach.SetTargets(targets)
 	node.updateTargets()
 }
 
+// updateTargets applies the manifest and the list of targets. Both change on
+// goroutines of their own.
 func (node *Node) updateTargets() {
+	node.updateMutex.Lock()
+	defer node.updateMutex.Unlock()
 	manifest, targets := node.proxy.Manifest(), node.targets.Load()
 	if manifest == nil || targets == nil {
 		return
--- a/internal/transport/node/stop.go
+++ b/internal/transport/node/stop.go
@@ -3,8 +3,14 @@
 import (
 	"context"
 	"time"
+
+	"mangopier.example/mangopier/internal/coordination/pause"
 )
 
+// detourCheckInterval is the time between two looks for forwarded requests that a
+// stopping instance still runs.
+const detourCheckInterval = 10 * time.Millisecond
+
 // answerReserve is the part of the grace period that is kept for answering requests
 // that are still in flight.
 const answerReserve = 200 * time.Millisecond
@@ -23,6 +29,10 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	interrupted := node.servers[0].Stop(ctx)
+	for node.detourServer.ActiveRequests() > 0 && pause.For(ctx, detourCheckInterval) {
+		continue // the instance that forwarded the request waits for its response
+	}
+	interrupted += node.detourServer.ActiveRequests()
 	node.servers[1].Stop(ctx)
 	node.shutDown()
 	return interrupted
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -34,7 +34,6 @@
 
 // servePlain forwards a request to a plain service.
 func (exchange *exchange) servePlain(ctx context.Context) {
-	exchange.proxy.retryBudget(exchange.service.Name).CountRequest()
 	calls := &plainCalls{exchange: exchange, results: make(chan callResult, maxCalls)}
 	defer calls.stop()
 	if err := calls.start(ctx); err != nil {
@@ -92,12 +91,15 @@
 // is not counted as a failure of the target.
 func (exchange *exchange) classifyNoResponse(ctx context.Context, target site.Target, err error, call *plainCall) callOutcome {
 	if !exchange.mayHaveReached(target, err) {
-		exchange.recordFailedCall(target, "call", "unreachable", err, call.started)
+		exchange.recordFailedCall(target, call.stage(), "unreachable", err, call.started)
 		return outcomeUnsent
 	}
 	exchange.runs++
+	exchange.recordFailedCall(target, call.stage(), "no-answer", err, call.started)
+	if call.peer != "" {
+		return outcomeMayHaveRun
+	}
 	exchange.countUsage()
-	exchange.recordFailedCall(target, "call", "no-answer", err, call.started)
 	if !call.slow && (ctx.Err() == nil || exchange.remaining() <= 0) {
 		exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 	}
--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -17,8 +17,9 @@
 // decodeRun is one run of a generation at an engine. Its goroutines send the call
 // and read the response; the request's own goroutine does all else.
 type decodeRun struct {
-	assignment place.Assignment
-	handle     *site.KVHandle // that the call carries, nil for none
+	assignment place.Assignment // empty if another instance runs the generation
+	peer       string           // that instance, empty if an engine runs it
+	handle     *site.KVHandle   // that the call carries, nil for none
 	started    time.Time
 	ctx        context.Context //nolint:containedctx // ends with the run
 	cancel     context.CancelFunc
@@ -39,23 +40,47 @@
 	err      error  // io.EOF at the end of the body
 }
 
-// startRun sends a generation to an engine. The first result of the run is the
-// header of the response.
-func (exchange *exchange) startRun(ctx context.Context, assignment place.Assignment, source promptSource, lastEventID string) *decodeRun {
-	now := time.Now()
-	run := &decodeRun{assignment: assignment, handle: source.handle, started: now, receivedAt: now, results: make(chan runResult, 1)}
+// destination returns the engine or the instance that runs the generation.
+func (run *decodeRun) destination() site.Target {
+	if run.peer != "" {
+		return site.Target{ID: run.peer}
+	}
+	return run.assignment.Target
+}
+
+// stage returns the name of the run in logs and metrics.
+func (run *decodeRun) stage() string {
+	if run.peer != "" {
+		return "detour"
+	}
+	return "decode"
+}
+
+// startRun sends a generation to an engine or to another instance. The first result
+// of the run is the header of the response.
+func (exchange *exchange) startRun(ctx context.Context, run *decodeRun, source promptSource, lastEventID string) {
+	run.started = time.Now()
+	run.receivedAt, run.results = run.started, make(chan runResult, 1)
 	run.ctx, run.cancel = context.WithCancel(ctx)
+	if run.peer == "" {
+		run.handle = source.handle
+	}
 	call := &site.Call{
-		Target: assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name,
+		Target: run.assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name,
 		Priority: exchange.priority(), KVSource: source.handle, LastEventID: lastEventID,
 	}
 	if source.handle == nil {
 		call.KVFetchAddress = source.prefiller
 	}
+	forwarded := exchange.newForwarded(lastEventID)
 	go func() {
 		defer close(run.results)
 		result := runResult{}
-		result.response, result.info, result.err = exchange.send(run.ctx, call)
+		if run.peer != "" {
+			result.response, result.info, result.err = exchange.forward(run.ctx, run.peer, forwarded)
+		} else {
+			result.response, result.info, result.err = exchange.send(run.ctx, call)
+		}
 		if result.err == nil && !result.info.NotRun && result.response.Status != http.StatusOK {
 			result.data, result.err = readBody(result.response)
 		}
@@ -64,12 +89,11 @@
 			discard(result.response)
 		}
 	}()
-	return run
 }
 
 // startReading reads the body of an accepted response. Its parts are the next
 // results of the run. After the run was ended there may be none.
-func (run *decodeRun) startReading(response *back.Response) {
+func (run *decodeRun) startReading(response *back.Response, received func()) {
 	<-run.results // closed by the goroutine that sent the call
 	run.response, run.results = response, make(chan runResult)
 	go func() {
@@ -78,6 +102,7 @@
 		buffer := make([]byte, streamBufferBytes)
 		for {
 			count, err := response.Body.Read(buffer)
+			received()
 			if count > 0 && !run.report(runResult{data: bytes.Clone(buffer[:count])}) {
 				return
 			}
@@ -142,19 +167,27 @@
 		}
 	}
 	run.cancel()
-	exchange.proxy.scheduler.Release(&run.assignment)
+	exchange.releaseRun(run)
+}
+
+// releaseRun ends the count of a run at its engine.
+func (exchange *exchange) releaseRun(run *decodeRun) {
+	if run.peer == "" {
+		exchange.proxy.scheduler.Release(&run.assignment)
+	}
 }
 
 // classifyNoStream returns the outcome of a decode call that ended without a
 // response.
 func (generation *generation) classifyNoStream(run *decodeRun, err error) callOutcome {
-	exchange, target := generation.exchange, run.assignment.Target
+	exchange, target := generation.exchange, run.destination()
 	if !exchange.mayHaveReached(target, err) {
-		exchange.recordFailedCall(target, "decode", "unreachable", err, run.started)
+		exchange.recordFailedCall(target, run.stage(), "unreachable", err, run.started)
+		generation.unsent += unsentWeight(err)
 		return outcomeUnsent
 	}
 	exchange.runs++
-	exchange.recordFailedCall(target, "decode", "no-answer", err, run.started)
+	exchange.recordFailedCall(target, run.stage(), "no-answer", err, run.started)
 	generation.reportFailure(run)
 	return outcomeMayHaveRun
 }
@@ -162,7 +195,7 @@
 // reportFailure counts a failure of a run's engine, unless the caller left before
 // the run was silent for long.
 func (generation *generation) reportFailure(run *decodeRun) {
-	if generation.exchange.callerLeft() && time.Since(run.receivedAt) < generation.stream.silenceTimeout() {
+	if run.peer != "" || generation.exchange.callerLeft() && time.Since(run.receivedAt) < generation.stream.silenceTimeout() {
 		return
 	}
 	generation.exchange.proxy.reportHealth(health.Observation{Target: run.assignment.Target.ID, Outcome: health.Failure})
@@ -172,7 +205,7 @@
 // its events can be forwarded, and outcomeSucceeded if an engine's own error went to
 // the caller.
 func (generation *generation) accept(run *decodeRun, result runResult) callOutcome {
-	exchange, target := generation.exchange, run.assignment.Target
+	exchange, target := generation.exchange, run.destination()
 	if result.response == nil {
 		outcome := generation.classifyNoStream(run, result.err)
 		if outcome != outcomeUnsent {
@@ -183,31 +216,37 @@
 	if result.info.NotRun {
 		run.refused = true
 		exchange.releaseHandle(run.handle)
-		exchange.recordCall(target, "decode", "not-run", run.started)
+		exchange.recordCall(target, run.stage(), "not-run", run.started)
 		exchange.proxy.pauseRefusing(target, result.info)
 		return outcomeNotRun
 	}
 	exchange.proxy.scheduler.MarkAccepted(target.ID)
 	exchange.runs++
-	exchange.countUsage()
+	if run.peer == "" { // the other instance counts its own
+		exchange.countUsage()
+	}
 	switch {
 	case result.response.Status != http.StatusOK:
 		return generation.handleError(run, result)
 	case !exchange.isAuthentic(result.response, result.info):
 		_ = result.response.Body.Close()
-		exchange.recordCall(target, "decode", "broken", run.started)
+		exchange.recordCall(target, run.stage(), "broken", run.started)
 		exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 		return outcomeFailed
 	}
-	run.startReading(result.response)
+	run.startReading(result.response, func() {
+		if run.peer == "" {
+			exchange.proxy.reach.RecordReceived(exchange.service.Name)
+		}
+	})
 	return outcomeOpened
 }
 
 // handleError handles an engine's own error. It goes to the caller at once if no
 // other run can answer, and otherwise if none does.
 func (generation *generation) handleError(run *decodeRun, result runResult) callOutcome {
-	exchange, target := generation.exchange, run.assignment.Target
-	exchange.recordFailedCall(target, "decode", "failed", result.err, run.started)
+	exchange, target := generation.exchange, run.destination()
+	exchange.recordFailedCall(target, run.stage(), "failed", result.err, run.started)
 	if result.response.Status >= http.StatusInternalServerError {
 		exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 	}
--- /dev/null
+++ b/internal/transport/proxy/detour.go
@@ -0,0 +1,136 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"mangopier.example/mangopier/internal/coordination/reach"
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/site"
+	"mangopier.example/mangopier/internal/transport/back"
+	"mangopier.example/mangopier/internal/transport/front"
+)
+
+// Peers are the other instances, which run requests for this one while it does not
+// reach the targets of a service.
+type Peers interface {
+	// Choose returns an instance that reaches a service and is not in except. It
+	// returns false if there is none.
+	Choose(service string, except []string) (instance string, ok bool)
+	// Do has an instance run a request. Errors are of type *back.CallError.
+	Do(ctx context.Context, instance string, request *site.ForwardedRequest) (*back.Response, error)
+}
+
+// WithPeers sets the other instances and the tracker that tells which services are
+// out of reach. By default no service is, and no request is forwarded.
+func WithPeers(peers Peers, tracker *reach.Tracker) Option {
+	return func(proxy *Proxy) { proxy.peers, proxy.reach = peers, tracker }
+}
+
+// noPeers is the default of WithPeers.
+type noPeers struct{}
+
+func (noPeers) Choose(string, []string) (string, bool) { return "", false }
+
+func (noPeers) Do(context.Context, string, *site.ForwardedRequest) (*back.Response, error) {
+	return nil, &back.CallError{State: back.NotSent, Err: code.Errorf(code.PeerUnreachable, "no other instance is known")}
+}
+
+// maxUnsentCalls is the number of targets that may refuse a connection before a
+// request is forwarded: they may have crashed, or this instance may be cut off. A
+// connect without an answer costs the caller so much time that it counts for all.
+const maxUnsentCalls = 2
+
+// unsentWeight returns how much a call that reached no target counts towards
+// maxUnsentCalls.
+func unsentWeight(err error) int {
+	if connectionCause(err) == "timeout" {
+		return maxUnsentCalls
+	}
+	return 1
+}
+
+// ServeForwarded serves a request that another instance has checked and forwarded.
+// It is not forwarded again. Panics are those of ServeHTTP.
+func (proxy *Proxy) ServeForwarded(ctx context.Context, w http.ResponseWriter, request *site.ForwardedRequest) {
+	exchange := &exchange{proxy: proxy, w: w, started: time.Now(), forwarded: true}
+	exchange.status = "open"
+	defer exchange.finish()
+	if err := exchange.acceptForwarded(request); err != nil {
+		exchange.refuse(err)
+		return
+	}
+	exchange.serve(ctx)
+}
+
+// acceptForwarded takes over the decisions of the instance that forwarded the
+// request.
+func (exchange *exchange) acceptForwarded(request *site.ForwardedRequest) error {
+	exchange.manifest = exchange.proxy.manifest.Load()
+	if exchange.manifest == nil {
+		return code.Errorf(code.NotReady, "no manifest has been received yet")
+	}
+	exchange.request, exchange.route, exchange.team = &request.Request, &request.Route, request.Team
+	exchange.runs = request.Runs
+	exchange.deadline = exchange.started.Add(request.Timeout)
+	service, ok := exchange.manifest.Services[request.Service]
+	if !ok {
+		return code.Errorf(code.NoTarget, "the manifest has no service for the route")
+	}
+	exchange.service = service
+	return nil
+}
+
+// choosePeer returns an instance to forward the request to. Unsent is the number of
+// calls that reached no target; local reports whether there is a target to call. A
+// request is forwarded if the service is out of reach, and otherwise only if targets
+// do not take connections or there is none.
+func (exchange *exchange) choosePeer(unsent int, local bool, tried []string) (string, bool) {
+	if exchange.forwarded || (local && unsent < maxUnsentCalls && !exchange.proxy.reach.Lost(exchange.service.Name)) {
+		return "", false
+	}
+	return exchange.proxy.peers.Choose(exchange.service.Name, tried)
+}
+
+// outOfReach reports whether no target of the service can be called from here.
+func (exchange *exchange) outOfReach() bool {
+	return exchange.proxy.reach.Lost(exchange.service.Name)
+}
+
+// lostSignal returns a channel that is closed when the service gets out of reach. It
+// is nil for a request that is not forwarded.
+func (exchange *exchange) lostSignal() <-chan struct{} {
+	if exchange.forwarded {
+		return nil
+	}
+	return exchange.proxy.reach.LostSignal(exchange.service.Name)
+}
+
+// forward has another instance run the request. Errors are those of Peers.Do; a
+// request that the instance refuses without having run it counts as not sent.
+func (exchange *exchange) forward(ctx context.Context, peer string, forwarded *site.ForwardedRequest) (*back.Response, site.ResponseInfo, error) {
+	response, err := exchange.proxy.peers.Do(ctx, peer, forwarded)
+	if err != nil {
+		return nil, site.ResponseInfo{}, err
+	}
+	info := exchange.proxy.codec.ParseResponse(response.Status, response.Header)
+	if response.Header.Get(front.HeaderRun) == code.NotRun.String() {
+		discard(response)
+		refusal := code.Errorf(code.PeerUnreachable, "instance %s refused the request with status %d", peer, response.Status)
+		return nil, info, &back.CallError{State: back.NotSent, Err: refusal}
+	}
+	return response, info, nil
+}
+
+// newForwarded returns the request as another instance is to run it, after the last
+// event that the caller has.
+func (exchange *exchange) newForwarded(lastEventID string) *site.ForwardedRequest {
+	forwarded := &site.ForwardedRequest{
+		Request: *exchange.request, Route: *exchange.route, Team: exchange.team, Service: exchange.service.Name,
+		ManifestVersion: exchange.manifest.Version, Timeout: exchange.remaining(), Runs: exchange.runs,
+	}
+	forwarded.Request.APIKey = ""
+	forwarded.Request.LastEventID = lastEventID
+	return forwarded
+}
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -25,6 +25,7 @@
 	deadline time.Time
 
 	callerCtx context.Context //nolint:containedctx // ends when the caller has gone
+	forwarded bool            // by another instance
 
 	request  *site.Request
 	manifest *site.Manifest
@@ -136,6 +137,7 @@
 // responds. Errors are those of back.Client.Do.
 func (exchange *exchange) send(ctx context.Context, call *site.Call) (*back.Response, site.ResponseInfo, error) {
 	proxy, request := exchange.proxy, exchange.request
+	defer proxy.reach.RecordSent(exchange.service.Name, call.Target.ID)()
 	response, err := proxy.client.Do(ctx, &back.Call{
 		Address:         call.Target.Address,
 		Method:          request.Method,
@@ -148,6 +150,7 @@
 	if err != nil {
 		return nil, site.ResponseInfo{}, err
 	}
+	proxy.reach.RecordReceived(exchange.service.Name)
 	proxy.scheduler.MarkReachable(call.Target.ID)
 	return response, proxy.codec.ParseResponse(response.Status, response.Header), nil
 }
@@ -204,7 +207,8 @@
 func (exchange *exchange) mayHaveReached(target site.Target, err error) bool {
 	var callError *back.CallError
 	if errors.As(err, &callError) && callError.State == back.NotSent {
-		if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+		if target.Address != "" && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+			exchange.proxy.reach.RecordUnreachable(exchange.service.Name, target.ID)
 			pause := exchange.proxy.scheduler.MarkUnreachable(target.ID)
 			exchange.proxy.logger.Warn().Str("target", target.ID).Dur("pause", pause).Err(err).Msg("target does not take connections")
 		}
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"mangopier.example/mangopier/internal/coordination/health"
-	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/site"
 	"mangopier.example/mangopier/internal/transport/back"
@@ -20,17 +19,19 @@
 // serveGeneration forwards a request to model engines: one prefills the prompt,
 // and another fetches its KV cache and decodes.
 func (exchange *exchange) serveGeneration(ctx context.Context) {
-	exchange.proxy.retryBudget(exchange.service.Name).CountRequest()
-	handle, prefiller, err := exchange.prefill(ctx)
-	if err != nil {
-		exchange.refuse(err)
-		return
-	}
 	generation := &generation{
-		exchange:   exchange,
-		stream:     &stream{exchange: exchange, lastEventID: exchange.request.LastEventID},
-		source:     promptSource{handle: handle, prefiller: prefiller.Address},
-		dataCenter: prefiller.DataCenter,
+		exchange: exchange,
+		stream:   &stream{exchange: exchange, lastEventID: exchange.request.LastEventID},
+	}
+	// An instance to which the request is forwarded has the prompt prefilled too.
+	if !exchange.outOfReach() || exchange.forwarded {
+		handle, prefiller, err := exchange.prefill(ctx)
+		if err != nil {
+			exchange.refuse(err)
+			return
+		}
+		generation.source = promptSource{handle: handle, prefiller: prefiller.Address}
+		generation.dataCenter = prefiller.DataCenter
 	}
 	defer generation.stop()
 	if !generation.serve(ctx) {
@@ -50,8 +51,9 @@
 	stream     *stream
 	source     promptSource
 	dataCenter string   // of the engine that prefilled the prompt
-	tried      []string // engines that failed
+	tried      []string // engines and instances that failed
 	calls      int
+	unsent     int               // calls that reached no engine
 	fallback   *fallbackResponse // error of an engine
 
 	active  *decodeRun
@@ -87,28 +89,46 @@
 		generation.active, generation.standby = generation.standby, nil
 		return true
 	}
-	assignment, ok := generation.assign(generation.tried)
-	if !ok && len(generation.tried) > 0 {
+	run := generation.choose(generation.tried)
+	if run == nil && len(generation.tried) > 0 {
 		generation.tried = nil
-		assignment, ok = generation.assign(nil)
+		run = generation.choose(nil)
 	}
-	if ok {
-		generation.active = generation.start(ctx, assignment, generation.source)
+	if run == nil {
+		return false
 	}
-	return ok
+	generation.start(ctx, run, generation.source)
+	generation.active = run
+	return true
 }
 
-// assign chooses an engine that is not in except. It returns false if there is
-// none.
-func (generation *generation) assign(except []string) (place.Assignment, bool) {
+// choose chooses an engine or another instance that is not in except. The run is
+// counted at its engine until it is released. It returns nil if there is none.
+func (generation *generation) choose(except []string) *decodeRun {
 	exchange := generation.exchange
-	return exchange.proxy.scheduler.AssignDecode(exchange.service.Name, exchange.request.Prompt, generation.dataCenter, except)
+	assignment, ok := exchange.proxy.scheduler.AssignDecode(exchange.service.Name, exchange.request.Prompt, generation.dataCenter, except)
+	peer, found := exchange.choosePeer(generation.unsent, ok, except)
+	run := &decodeRun{assignment: assignment}
+	switch {
+	case found:
+		if ok {
+			exchange.proxy.scheduler.Release(&assignment)
+		}
+		return &decodeRun{peer: peer}
+	case !ok:
+		return nil
+	case exchange.outOfReach() && !exchange.forwarded:
+		exchange.releaseRun(run)
+		return nil
+	default:
+		return run
+	}
 }
 
 // start starts a run after the last event that the caller has.
-func (generation *generation) start(ctx context.Context, assignment place.Assignment, source promptSource) *decodeRun {
+func (generation *generation) start(ctx context.Context, run *decodeRun, source promptSource) {
 	generation.calls++
-	return generation.exchange.startRun(ctx, assignment, source, generation.stream.lastEventID)
+	generation.exchange.startRun(ctx, run, source, generation.stream.lastEventID)
 }
 
 // mayStart reports whether a run may follow one that ended with outcome, and takes
@@ -128,8 +148,15 @@
 	stream := generation.stream
 	silence := time.NewTimer(stream.silenceTimeout())
 	defer silence.Stop()
+	lost := generation.exchange.lostSignal()
+	if generation.active.peer != "" {
+		lost = nil
+	}
 	for {
 		select {
+		case <-lost:
+			lost = nil
+			generation.startStandby(ctx)
 		case result, ok := <-generation.active.results:
 			if outcome, ended := generation.handleActive(result, ok); ended {
 				return outcome
@@ -196,9 +223,9 @@
 // health of its engine.
 func (generation *generation) recordEnd(outcome callOutcome) {
 	exchange, run, stream := generation.exchange, generation.active, generation.stream
-	exchange.recordFailedCall(run.assignment.Target, "decode", stream.endReason, stream.endErr, run.started)
+	exchange.recordFailedCall(run.destination(), run.stage(), stream.endReason, stream.endErr, run.started)
 	switch {
-	case stream.callerGone:
+	case stream.callerGone || run.peer != "":
 	case outcome == outcomeSucceeded:
 		exchange.proxy.reportHealth(health.Observation{Target: run.assignment.Target.ID})
 	default:
@@ -218,16 +245,17 @@
 		generation.calls >= maxCalls || exchange.remaining() < minRemaining {
 		return
 	}
-	assignment, ok := generation.assign(append(slices.Clone(generation.tried), active.assignment.Target.ID))
-	if !ok {
+	run := generation.choose(append(slices.Clone(generation.tried), active.destination().ID))
+	if run == nil {
 		return
 	}
 	if !exchange.spendRetry(outcomeMayHaveRun) {
-		exchange.proxy.scheduler.Release(&assignment)
+		exchange.releaseRun(run)
 		return
 	}
 	// The active run uses the handle.
-	generation.standby = generation.start(ctx, assignment, promptSource{prefiller: generation.source.prefiller})
+	generation.start(ctx, run, promptSource{prefiller: generation.source.prefiller})
+	generation.standby = run
 }
 
 // handleStandby handles a result of the standby run, and drops the run if it cannot
@@ -242,7 +270,7 @@
 	}
 	run.receive(result, ok)
 	if run.ended != nil && !run.hasEvent() {
-		exchange.recordFailedCall(run.assignment.Target, "decode", "broken", run.ended, run.started)
+		exchange.recordFailedCall(run.destination(), run.stage(), "broken", run.ended, run.started)
 		generation.reportFailure(run)
 		generation.failStandby()
 	}
@@ -252,7 +280,7 @@
 func (generation *generation) failStandby() {
 	run := generation.standby
 	generation.standby = nil
-	generation.tried = append(generation.tried, run.assignment.Target.ID)
+	generation.tried = append(generation.tried, run.destination().ID)
 	generation.exchange.endRun(run)
 }
 
@@ -274,7 +302,7 @@
 func (generation *generation) dropActive(outcome callOutcome) {
 	exchange, run := generation.exchange, generation.active
 	generation.active = nil
-	generation.tried = append(generation.tried, run.assignment.Target.ID)
+	generation.tried = append(generation.tried, run.destination().ID)
 	exchange.endRun(run)
 	// A call that was sent uses up the handle. The next engine fetches what the
 	// prefill engine still has in its prefix cache, and prefills the rest itself.
@@ -293,7 +321,7 @@
 	if run.response == nil {
 		generation.exchange.runs++ // it may run
 	}
-	generation.exchange.recordCall(run.assignment.Target, "decode", "dropped", run.started)
+	generation.exchange.recordCall(run.destination(), run.stage(), "dropped", run.started)
 	generation.exchange.endRun(run)
 }
 
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -21,14 +21,16 @@
 	exchange *exchange
 	inFlight []*plainCall
 	results  chan callResult // one per call
-	tried    []string
+	tried    []string        // targets and instances that were called
+	unsent   int             // calls that reached no target
 	fallback *fallbackResponse
 }
 
 // plainCall is one call to a target. Its goroutine sends the call and reads the
 // response; the request's own goroutine does all else.
 type plainCall struct {
-	assignment place.Assignment
+	assignment place.Assignment // empty if another instance is called
+	peer       string           // instance that is called, empty for a target
 	started    time.Time
 	cancel     context.CancelFunc
 	done       chan struct{} // closed when the goroutine has ended
@@ -45,43 +47,84 @@
 	err      error
 }
 
-// start calls the least loaded target that was not called yet. Errors are those
-// that the caller gets if it is the first call.
+// start calls the least loaded target that was not called yet, or another instance.
+// Errors are those that the caller gets if it is the first call.
 func (calls *plainCalls) start(ctx context.Context) error {
-	assignment, err := calls.assign()
+	call, err := calls.choose()
 	if err == nil {
-		calls.send(ctx, assignment)
+		calls.send(ctx, call)
 	}
 	return err
 }
 
-func (calls *plainCalls) assign() (place.Assignment, error) {
+// choose chooses what to call next. The call is counted at its target until it is
+// released.
+func (calls *plainCalls) choose() (*plainCall, error) {
 	exchange := calls.exchange
 	assignment, callsPerSlot, ok := exchange.proxy.scheduler.AssignCall(exchange.service.Name, calls.tried)
+	if peer, found := exchange.choosePeer(calls.unsent, ok, calls.tried); found {
+		if ok {
+			exchange.proxy.scheduler.Release(&assignment)
+		}
+		return &plainCall{peer: peer}, nil
+	}
 	if !ok {
-		return assignment, exchange.capacityError(code.NoTarget, time.Second)
+		return nil, exchange.capacityError(code.NoTarget, time.Second)
+	}
+	call := &plainCall{assignment: assignment}
+	switch {
+	case exchange.outOfReach():
+		calls.release(call)
+		return nil, exchange.capacityError(code.NoTarget, time.Second)
+	case callsPerSlot >= maxCallsPerSlot:
+		calls.release(call)
+		return nil, exchange.capacityError(code.TeamOverloaded, minRetryAfter)
+	}
+	return call, nil
+}
+
+// release ends the count of a call at its target.
+func (calls *plainCalls) release(call *plainCall) {
+	if call.peer == "" {
+		calls.exchange.proxy.scheduler.Release(&call.assignment)
+	}
+}
+
+// destination returns the target or the instance that is called.
+func (call *plainCall) destination() site.Target {
+	if call.peer != "" {
+		return site.Target{ID: call.peer}
 	}
-	if callsPerSlot >= maxCallsPerSlot {
-		exchange.proxy.scheduler.Release(&assignment)
-		return assignment, exchange.capacityError(code.TeamOverloaded, minRetryAfter)
+	return call.assignment.Target
+}
+
+// stage returns the name of the call in logs and metrics.
+func (call *plainCall) stage() string {
+	if call.peer != "" {
+		return "detour"
 	}
-	return assignment, nil
+	return "call"
 }
 
-// send sends the request to one target.
-func (calls *plainCalls) send(ctx context.Context, assignment place.Assignment) {
+// send sends the request to a target or to another instance.
+func (calls *plainCalls) send(ctx context.Context, call *plainCall) {
 	exchange := calls.exchange
-	call := &plainCall{assignment: assignment, started: time.Now(), done: make(chan struct{})}
+	call.started, call.done = time.Now(), make(chan struct{})
 	ctx, call.cancel = context.WithCancel(ctx)
 	calls.inFlight = append(calls.inFlight, call)
-	calls.tried = append(calls.tried, assignment.Target.ID)
+	calls.tried = append(calls.tried, call.destination().ID)
 	sent := &site.Call{
-		Target: assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name, Priority: exchange.priority(),
+		Target: call.assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name, Priority: exchange.priority(),
 	}
+	forwarded := exchange.newForwarded(exchange.request.LastEventID)
 	go func() {
 		defer close(call.done)
 		result := callResult{call: call}
-		result.response, result.info, result.err = exchange.send(ctx, sent)
+		if call.peer != "" {
+			result.response, result.info, result.err = exchange.forward(ctx, call.peer, forwarded)
+		} else {
+			result.response, result.info, result.err = exchange.send(ctx, sent)
+		}
 		if result.err == nil {
 			result.body, result.bodyErr = readBody(result.response)
 		}
@@ -95,8 +138,12 @@
 	exchange := calls.exchange
 	slow := time.NewTimer(exchange.callTimeout())
 	defer slow.Stop()
+	lost := exchange.lostSignal()
 	for {
 		select {
+		case <-lost:
+			lost = nil
+			calls.repeatSlow(ctx)
 		case result := <-calls.results:
 			outcome := calls.finish(ctx, result)
 			switch {
@@ -122,20 +169,20 @@
 		return
 	}
 	for _, call := range calls.inFlight {
-		if !call.slow {
+		if !call.slow && call.peer == "" {
 			call.slow = true
 			exchange.proxy.reportHealth(health.Observation{Target: call.assignment.Target.ID, Outcome: health.Failure})
 		}
 	}
-	assignment, err := calls.assign()
+	call, err := calls.choose()
 	if err != nil {
 		return
 	}
 	if !exchange.spendRetry(outcomeMayHaveRun) {
-		exchange.proxy.scheduler.Release(&assignment)
+		calls.release(call)
 		return
 	}
-	calls.send(ctx, assignment)
+	calls.send(ctx, call)
 }
 
 // finish handles the end of a call. A successful response goes to the caller; a
@@ -144,20 +191,26 @@
 	exchange, call := calls.exchange, result.call
 	calls.inFlight = slices.DeleteFunc(calls.inFlight, func(other *plainCall) bool { return other == call })
 	call.end()
-	exchange.proxy.scheduler.Release(&call.assignment)
-	target := call.assignment.Target
+	calls.release(call)
+	target := call.destination()
 	if result.err != nil {
-		return exchange.classifyNoResponse(ctx, target, result.err, call)
+		outcome := exchange.classifyNoResponse(ctx, target, result.err, call)
+		if outcome == outcomeUnsent {
+			calls.unsent += unsentWeight(result.err)
+		}
+		return outcome
 	}
 	if result.info.NotRun {
-		exchange.recordCall(target, "call", "not-run", call.started)
-		if result.info.Misdirected {
+		exchange.recordCall(target, call.stage(), "not-run", call.started)
+		if result.info.Misdirected && call.peer == "" {
 			exchange.proxy.scheduler.PauseTarget(target.ID, misdirectedPause)
 		}
 		return outcomeNotRun
 	}
 	exchange.runs++
-	exchange.countUsage()
+	if call.peer == "" { // the other instance counts its own
+		exchange.countUsage()
+	}
 	observation := health.Observation{Target: target.ID, TTFB: time.Since(call.started), ExpectedTTFB: exchange.route.LatencyObjective / 4}
 	outcome, name := outcomeSucceeded, "answered"
 	switch {
@@ -170,10 +223,10 @@
 	if outcome != outcomeSucceeded {
 		observation.Outcome = health.Failure
 	}
-	if !call.slow {
+	if !call.slow && call.peer == "" {
 		exchange.proxy.reportHealth(observation)
 	}
-	exchange.recordFailedCall(target, "call", name, result.bodyErr, call.started)
+	exchange.recordFailedCall(target, call.stage(), name, result.bodyErr, call.started)
 	if outcome == outcomeSucceeded {
 		exchange.deliver(result.response, result.body)
 	}
@@ -183,9 +236,9 @@
 // stop ends the calls in flight.
 func (calls *plainCalls) stop() {
 	for _, call := range calls.inFlight {
-		calls.exchange.recordCall(call.assignment.Target, "call", "dropped", call.started)
+		calls.exchange.recordCall(call.destination(), call.stage(), "dropped", call.started)
 		call.end()
-		calls.exchange.proxy.scheduler.Release(&call.assignment)
+		calls.release(call)
 	}
 	calls.inFlight = nil
 }
--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -31,6 +31,7 @@
 	results  chan prefillResult // one per call
 	tried    []string
 	sent     int // calls that engines may have received
+	unsent   int // calls that reached no engine
 }
 
 // prefillCall is a call that has one engine prefill the prompt. Its goroutine sends
@@ -106,8 +107,11 @@
 	exchange := stage.exchange
 	slow := time.NewTimer(stage.slowTimeout())
 	defer slow.Stop()
+	lost := exchange.lostSignal()
 	for {
 		select {
+		case <-lost:
+			return nil, site.Target{}, nil
 		case result := <-stage.results:
 			handle, outcome := stage.finish(result)
 			if outcome == outcomeSucceeded {
@@ -123,7 +127,7 @@
 				return nil, site.Target{}, exchange.capacityError(code.NoTarget, time.Second)
 			}
 			prefill, ok := stage.choose()
-			if !ok || stage.sent >= maxPrefills || len(stage.tried) >= maxCalls {
+			if !ok || stage.unsent >= maxUnsentCalls || stage.sent >= maxPrefills || len(stage.tried) >= maxCalls {
 				return nil, site.Target{}, nil
 			}
 			stage.send(ctx, &prefill)
@@ -176,7 +180,9 @@
 	stage.inFlight = slices.DeleteFunc(stage.inFlight, func(other *prefillCall) bool { return other == call })
 	call.end()
 	handle, outcome := stage.classify(result)
-	if outcome != outcomeUnsent {
+	if outcome == outcomeUnsent {
+		stage.unsent += unsentWeight(result.err)
+	} else {
 		stage.sent++
 	}
 	stage.exchange.proxy.scheduler.EndPrefill(call.prefill, outcome == outcomeSucceeded)
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -20,6 +20,7 @@
 
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/place"
+	"mangopier.example/mangopier/internal/coordination/reach"
 	"mangopier.example/mangopier/internal/coordination/retry"
 	"mangopier.example/mangopier/internal/protocol/site"
 	"mangopier.example/mangopier/internal/transport/back"
@@ -87,6 +88,8 @@
 	scheduler     *place.Scheduler
 	health        *health.Tracker
 	meter         UsageMeter
+	peers         Peers
+	reach         *reach.Tracker
 	bounds        site.Bounds
 	instanceCount func() int
 	logger        zerolog.Logger
@@ -106,6 +109,7 @@
 func New(codec Codec, client *back.Client, scheduler *place.Scheduler, tracker *health.Tracker, meter UsageMeter, opts ...Option) *Proxy {
 	proxy := &Proxy{
 		codec: codec, client: client, scheduler: scheduler, health: tracker, meter: meter,
+		peers: noPeers{}, reach: reach.New(),
 		instanceCount: func() int { return 1 },
 		logger:        zerolog.Nop(),
 		cleanupSlots:  make(chan struct{}, maxCleanups),
@@ -159,10 +163,18 @@
 		exchange.refuse(err)
 		return
 	}
-	exchange.callerCtx = r.Context()
-	ctx, cancel := context.WithDeadline(r.Context(), exchange.deadline)
+	exchange.serve(r.Context())
+}
+
+// serve forwards an accepted request. CallerCtx ends when the caller has gone.
+func (exchange *exchange) serve(callerCtx context.Context) {
+	exchange.callerCtx = callerCtx
+	ctx, cancel := context.WithDeadline(callerCtx, exchange.deadline)
 	defer cancel()
-	defer context.AfterFunc(proxy.ended, cancel)()
+	defer context.AfterFunc(exchange.proxy.ended, cancel)()
+	if !exchange.forwarded { // the other instance has counted it
+		exchange.proxy.retryBudget(exchange.service.Name).CountRequest()
+	}
 	if exchange.request.Prompt != nil && exchange.service.Engine != nil {
 		exchange.serveGeneration(ctx)
 		return
