--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -63,6 +63,9 @@
 		event.Float64("ahead-ms", truncateToTenth(exchange.expectedWaitMS)).Float64("work-ms", truncateToTenth(exchange.workMS)).Float64("less-ms", truncateToTenth(exchange.lowerPriorityMS)).
 			Int("cached", exchange.cachedTokens).Int("fetched", exchange.fetchedTokens)
 	}
+	if exchange.forwarded {
+		event.Bool("forwarded", true) // by another instance, which logs the request too
+	}
 	if exchange.maxGap > 0 {
 		event.Int64("pause-ms", exchange.maxGap.Milliseconds())
 	}
