Send no new requests to a target that says that it leaves

Callers saw requests end at targets that were about to stop: a target tells in each of its answers, by the platform's new header, that it takes no new requests, and this was ignored and even passed on to callers.

The scheduler keeps it for that run of the target: a row with another start time ends it, a row that still says ready does not, and an answer of an earlier run does not mark the restarted target. Heartbeats carry the leaving runs that are listed, at most 64, a random choice if there are more; peers mark them and pass them on themselves. A KV handle at a leaving engine is not released: the engine releases it after its own time.

Tests before the change: quit_test.go:50: success: requests at the leaving target and the other = 15, 6, want 1, 20 quit_test.go:50: error: requests at the leaving target and the other = 14, 7, want 1, 20 quit_test.go:50: refusal: requests at the leaving target and the other = 11, 20, want 1, 20 quit_test.go:70: status while the target leaves = 200, want 503 quit_test.go:139: prefills at the leaving engine = 2, want 1 request_test.go:154: ParseResponse(Server-Leaving: "1").Leaving = false, want true TestPeersLearnThatTargetLeaves: panic: test timed out after 10s TestStreamAtLeavingEngineEndsWhole was not run before the change, since it waits for the log line. With acceptsNewWork unchanged, the tests of place fail with leave_test.go:30: AssignCall() chooses a target that leaves leave_test.go:55: second prefill at p1 with source "", want the other engine with source "10.0.0.1:1"

--- a/internal/coordination/place/brief.go
+++ b/internal/coordination/place/brief.go
@@ -25,11 +25,12 @@
 )
 
 // reserveForSmallPrompts marks the reserved engines of a service. The choice
-// depends only on the target list, so all instances make the same one.
+// depends only on the target list and on the targets that leave, so all instances
+// make the same one.
 func reserveForSmallPrompts(group []*targetState) {
 	engines := slices.DeleteFunc(slices.Clone(group), func(state *targetState) bool {
 		state.reservedForSmall = false
-		return state.Stage != site.Prefill || state.Draining
+		return state.Stage != site.Prefill || state.Draining || state.leaving
 	})
 	slices.SortFunc(engines, func(a, b *targetState) int {
 		return cmp.Or(cmp.Compare(a.DataCenter, b.DataCenter), cmp.Compare(a.ID, b.ID))
--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -48,6 +48,7 @@
 	connectFailures  int       // in a row
 	refusals         int       // requests in a row that the target refused to run
 	firstSeen        time.Time // when the target was first listed here
+	leaving          bool      // the target has said that it takes no new requests
 }
 
 // Load is the work in flight at a target.
@@ -272,11 +273,11 @@
 
 // acceptsNewWork reports whether a target may be chosen.
 func (state *targetState) acceptsNewWork(now time.Time) bool {
-	return !state.Draining && state.isResponsive(now)
+	return !state.Draining && !state.leaving && state.isResponsive(now)
 }
 
 // isResponsive reports whether the target is expected to answer calls, even if
-// it is draining.
+// it is draining or leaving.
 func (state *targetState) isResponsive(now time.Time) bool {
 	return state.weight > 0 && !now.Before(state.pausedUntil) && !now.Before(state.stageChangeUntil)
 }
--- a/internal/protocol/site/site.go
+++ b/internal/protocol/site/site.go
@@ -265,6 +265,7 @@
 // until another engine fetches it.
 type KVHandle struct {
 	Address string // IP:port of the engine
+	Engine  Target
 	ID      string
 	Tokens  int
 }
@@ -276,6 +277,7 @@
 	Misdirected bool // another target has the address now; the request was not run
 	Signed      bool // the response carries the target's signature
 	Closing     bool // the target closes the connection
+	Leaving     bool // the target takes no new requests until it is restarted
 	Load        *Load
 }
 
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -30,6 +30,9 @@
 	AcceptsForwarded bool     `cbor:"12,keyasint,omitempty"`
 	LostServices     []string `cbor:"11,keyasint,omitempty"` // that the instance does not reach, or only with difficulty
 
+	// Leaving holds the targets that the instance knows to leave.
+	Leaving []place.LeavingTarget `cbor:"14,keyasint,omitempty"`
+
 	// A message with one of these is no heartbeat.
 	UsageQuery  *usageQuery  `cbor:"9,keyasint,omitempty"`
 	UsageAnswer *usageAnswer `cbor:"10,keyasint,omitempty"`
@@ -46,6 +49,7 @@
 		Instance: node.settings.Instance, BootID: node.bootID, DataCenter: node.settings.DataCenter,
 		LoadReport: node.scheduler.BuildReport(rounds), Usage: node.meter.Snapshot(),
 		AcceptsForwarded: !node.stopping.Load(), LostServices: node.unreachedServices(),
+		Leaving: node.scheduler.LeavingTargets(),
 	}
 	if rounds == 1 { // the last heartbeat of this round
 		node.scheduler.EndReportRound()
@@ -100,6 +104,7 @@
 	node.mesh.RecordHeartbeat(message.Instance)
 	node.detours.update(message.Instance, peerReach{accepts: message.AcceptsForwarded, services: message.LostServices})
 	node.pauseEngines(message.StageChangesMS)
+	node.markLeaving(message.Instance, message.Leaving)
 	node.scheduler.MergeReport(message.Instance, message.LoadReport)
 	if manifest := node.proxy.Manifest(); manifest == nil || manifest.Version < message.ManifestVersion {
 		select {
@@ -137,6 +142,15 @@
 	}
 }
 
+// markLeaving keeps requests from targets that a peer knows to leave.
+func (node *Node) markLeaving(instance string, targets []place.LeavingTarget) {
+	for _, target := range targets {
+		if node.scheduler.MarkLeaving(target) {
+			node.logger.Info().Str("part", "node").Str("target", target.ID).Str("from", instance).Msg("target leaves; it gets no new requests")
+		}
+	}
+}
+
 // peerManifest is a manifest version that a peer has in force.
 type peerManifest struct {
 	address string
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -152,7 +152,7 @@
 	}
 	proxy.reach.RecordReceived(exchange.service.Name)
 	proxy.scheduler.MarkReachable(call.Target.ID)
-	return response, proxy.codec.ParseResponse(response.Status, response.Header), nil
+	return response, proxy.observe(call.Target, response), nil
 }
 
 // recordCall keeps a call for the log line and the metrics.
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mangopier.example/mangopier/internal/coordination/health"
+	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/site"
 	"mangopier.example/mangopier/internal/transport/back"
@@ -367,12 +368,16 @@
 const cleanupTimeout = time.Second
 
 // releaseHandle has an engine release a prefilled prompt that no engine will
-// fetch. The call runs in the background.
+// fetch. The call runs in the background. An engine that leaves gets none; it
+// releases the prompt by itself.
 func (exchange *exchange) releaseHandle(handle *site.KVHandle) {
 	if handle == nil {
 		return
 	}
 	proxy := exchange.proxy
+	if proxy.scheduler.IsLeaving(place.NewLeavingTarget(handle.Engine)) {
+		return
+	}
 	select {
 	case proxy.cleanupSlots <- struct{}{}:
 	default:
@@ -388,6 +393,7 @@
 			Address: handle.Address, Method: http.MethodDelete, Path: proxy.codec.KVHandlePath(handle.ID), ReuseConnection: true,
 		})
 		if err == nil {
+			proxy.observe(handle.Engine, response)
 			discard(response)
 		}
 	}()
--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -212,7 +212,7 @@
 		return nil, outcomeNotRun
 	}
 	exchange.proxy.scheduler.MarkAccepted(target.ID)
-	handle, err := exchange.proxy.codec.ParseKVHandle(target.Address, result.body)
+	handle, err := exchange.parseHandle(target, result.body)
 	if err != nil {
 		exchange.recordFailedCall(target, "prefill", "broken", err, call.started)
 		stage.reportFailure(call)
@@ -228,6 +228,16 @@
 	return handle, outcomeSucceeded
 }
 
+// parseHandle parses the response of an engine to a prefill.
+func (exchange *exchange) parseHandle(engine site.Target, body []byte) (*site.KVHandle, error) {
+	handle, err := exchange.proxy.codec.ParseKVHandle(engine.Address, body)
+	if err != nil {
+		return nil, err
+	}
+	handle.Engine = engine
+	return handle, nil
+}
+
 // reportFailure counts a failure of a call's engine once, unless the caller left
 // before the call was slow.
 func (stage *prefillStage) reportFailure(call *prefillCall) {
@@ -251,7 +261,7 @@
 		if result.err != nil || result.response.Status != http.StatusOK {
 			continue
 		}
-		if handle, err := exchange.proxy.codec.ParseKVHandle(result.call.prefill.Target.Address, result.body); err == nil {
+		if handle, err := exchange.parseHandle(result.call.prefill.Target, result.body); err == nil {
 			exchange.releaseHandle(handle)
 		}
 	}
