Leave a target alone for the time that its 503 asks for

Callers' requests went on to targets whose 503 asks by Retry-After for no requests for a while: a plain service's refusal paused nothing, an engine's refusal paused it for 0.5 s to 2 s whatever it had asked for, and when all targets asked for a pause callers were told to return at a random time.

The scheduler keeps that pause apart from those after refusals and failed connections, so that these neither shorten, replace nor end it, and an engine that names its pause gets no other one for its refusal. While none of a service's targets takes requests and at least one has asked for that, requests that no other instance takes are refused as not run, with the time until the first target's pause ends; their prompts are not prefilled.

--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -43,6 +43,7 @@
 	weight           float64      // share of normal traffic that the target's health allows
 	reservedForSmall bool         // preferred for small prompts
 	pausedUntil      time.Time
+	quietUntil       time.Time // until when the target has asked for no new work
 	stageChangeUntil time.Time // while the engine changes its stage
 	stageChangedAt   time.Time // when the target list showed another stage
 	connectFailures  int       // in a row
@@ -279,7 +280,7 @@
 // isResponsive reports whether the target is expected to answer calls, even if
 // it is draining or leaving.
 func (state *targetState) isResponsive(now time.Time) bool {
-	return state.weight > 0 && !now.Before(state.pausedUntil) && !now.Before(state.stageChangeUntil)
+	return state.weight > 0 && !now.Before(state.pausedUntil) && !now.Before(state.stageChangeUntil) && !now.Before(state.quietUntil)
 }
 
 func (load *Load) add(other *Load, sign float64) {
--- a/internal/protocol/site/site.go
+++ b/internal/protocol/site/site.go
@@ -279,6 +279,9 @@
 	Closing     bool // the target closes the connection
 	Leaving     bool // the target takes no new requests until it is restarted
 	Load        *Load
+
+	RetryAfter        time.Duration // for which the target of a 503 wants no requests, 0 if it names none
+	InvalidRetryAfter string        // the header, if it cannot be used
 }
 
 // EngineStatus is the state that an engine returns when polled.
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -272,6 +272,37 @@
 	return code.WithRetryDelay(err, retryAfter)
 }
 
+// noTargetError returns the error of a request for which there is no target. If all
+// targets have asked for a pause, its retry delay ends with the first pause;
+// otherwise it is that of capacityError.
+func (exchange *exchange) noTargetError(retryAfter time.Duration) error {
+	quiet, ok := exchange.quietTime()
+	if !ok {
+		return exchange.capacityError(code.NoTarget, retryAfter)
+	}
+	if limit := exchange.proxy.bounds.MaxRetryAfter; limit > 0 {
+		quiet = min(quiet, limit)
+	}
+	err := code.Errorf(code.NoTarget, "all targets of the service ask for a pause")
+	return code.WithRetryDelay(err, quiet)
+}
+
+// quietTime returns the time until a target can take the request, if all have asked
+// for a pause or are paused otherwise.
+func (exchange *exchange) quietTime() (time.Duration, bool) {
+	stage := site.NoStage
+	if exchange.service.Engine != nil && exchange.request.Prompt != nil {
+		stage = site.Decode
+	}
+	return exchange.proxy.scheduler.QuietTime(exchange.service.Name, stage)
+}
+
+// isQuiet reports whether no target takes the request for a time that it has named.
+func (exchange *exchange) isQuiet() bool {
+	_, quiet := exchange.quietTime()
+	return quiet
+}
+
 // minRetryAfter keeps refused callers from returning before the instances have
 // exchanged the loads of the targets.
 const minRetryAfter = 300 * time.Millisecond
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -25,7 +25,7 @@
 		stream:   &stream{exchange: exchange, lastEventID: exchange.request.LastEventID},
 	}
 	// An instance to which the request is forwarded has the prompt prefilled too.
-	if !exchange.outOfReach() || exchange.forwarded {
+	if (!exchange.outOfReach() || exchange.forwarded) && !exchange.isQuiet() {
 		handle, prefiller, err := exchange.prefill(ctx)
 		if err != nil {
 			exchange.refuse(err)
@@ -357,7 +357,7 @@
 	if exchange.runs > 0 {
 		return code.Errorf(code.TargetFailed, "no target gave a complete answer")
 	}
-	return exchange.capacityError(code.NoTarget, retryAfter)
+	return exchange.noTargetError(retryAfter)
 }
 
 // maxCleanups bounds the calls under way that release prompts. Beyond it, a
--- a/internal/transport/proxy/observe.go
+++ b/internal/transport/proxy/observe.go
@@ -16,5 +16,19 @@
 	if info.Leaving && proxy.scheduler.MarkLeaving(place.NewLeavingTarget(target)) {
 		proxy.logger.Info().Str("target", target.ID).Str("from", "answer").Msg("target leaves; it gets no new requests")
 	}
+	if info.RetryAfter > 0 {
+		proxy.scheduler.MarkQuiet(target.ID, info.RetryAfter)
+	}
+	if info.InvalidRetryAfter != "" {
+		proxy.logInvalidRetryAfter(target, info)
+	}
 	return info
 }
+
+// logInvalidRetryAfter writes a log line about the first such answer of a target.
+func (proxy *Proxy) logInvalidRetryAfter(target site.Target, info site.ResponseInfo) {
+	if _, logged := proxy.invalidRetryAfter.LoadOrStore(target.ID, true); logged {
+		return
+	}
+	proxy.logger.Warn().Str("target", target.ID).Str("retry-after", sanitizeForLog(info.InvalidRetryAfter)).Msg("target asks for an unusable pause; ignored")
+}
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -69,7 +69,7 @@
 		return &plainCall{peer: peer}, nil
 	}
 	if !ok {
-		return nil, exchange.capacityError(code.NoTarget, time.Second)
+		return nil, exchange.noTargetError(time.Second)
 	}
 	call := &plainCall{assignment: assignment}
 	switch {
--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -302,5 +302,8 @@
 		proxy.scheduler.PauseTarget(target.ID, misdirectedPause)
 		return
 	}
+	if info.RetryAfter > 0 { // the engine has named its own pause
+		return
+	}
 	proxy.scheduler.MarkRefused(target.ID)
 }
