--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -43,11 +43,13 @@
 	weight           float64      // share of normal traffic that the target's health allows
 	reservedForSmall bool         // preferred for small prompts
 	pausedUntil      time.Time
+	quietUntil       time.Time // until when the target has asked for no new work
 	stageChangeUntil time.Time // while the engine changes its stage
 	stageChangedAt   time.Time // when the target list showed another stage
 	connectFailures  int       // in a row
 	refusals         int       // requests in a row that the target refused to run
 	firstSeen        time.Time // when the target was first listed here
+	leaving          bool      // the target has said that it takes no new requests
 }
 
 // Load is the work in flight at a target.
@@ -272,13 +274,13 @@
 
 // acceptsNewWork reports whether a target may be chosen.
 func (state *targetState) acceptsNewWork(now time.Time) bool {
-	return !state.Draining && state.isResponsive(now)
+	return !state.Draining && !state.leaving && state.isResponsive(now)
 }
 
 // isResponsive reports whether the target is expected to answer calls, even if
-// it is draining.
+// it is draining or leaving.
 func (state *targetState) isResponsive(now time.Time) bool {
-	return state.weight > 0 && !now.Before(state.pausedUntil) && !now.Before(state.stageChangeUntil)
+	return state.weight > 0 && !now.Before(state.pausedUntil) && !now.Before(state.stageChangeUntil) && !now.Before(state.quietUntil)
 }
 
 func (load *Load) add(other *Load, sign float64) {
