--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -72,7 +72,10 @@
 	if source.handle == nil {
 		call.KVFetchAddress = source.prefiller
 	}
-	forwarded := exchange.newForwarded(lastEventID)
+	var forwarded *site.ForwardedRequest
+	if run.peer != "" {
+		forwarded = exchange.newForwarded(lastEventID)
+	}
 	go func() {
 		defer close(run.results)
 		result := runResult{}
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -25,7 +25,7 @@
 		stream:   &stream{exchange: exchange, lastEventID: exchange.request.LastEventID},
 	}
 	// An instance to which the request is forwarded has the prompt prefilled too.
-	if (!exchange.outOfReach() || exchange.forwarded) && !exchange.isQuiet() {
+	if !exchange.outOfReach() && !exchange.isQuiet() {
 		handle, prefiller, err := exchange.prefill(ctx)
 		if err != nil {
 			exchange.refuse(err)
@@ -118,7 +118,7 @@
 		return &decodeRun{peer: peer}
 	case !ok:
 		return nil
-	case exchange.outOfReach() && !exchange.forwarded:
+	case exchange.outOfReach():
 		exchange.releaseRun(run)
 		return nil
 	default:
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -116,7 +116,10 @@
 	sent := &site.Call{
 		Target: call.assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name, Priority: exchange.priority(),
 	}
-	forwarded := exchange.newForwarded(exchange.request.LastEventID)
+	var forwarded *site.ForwardedRequest
+	if call.peer != "" {
+		forwarded = exchange.newForwarded(exchange.request.LastEventID)
+	}
 	go func() {
 		defer close(call.done)
 		result := callResult{call: call}
