Forwarded requests stay within the retry budget, and only for targets out of reach

By reading: in a burst in which all engines are paused because they refuse, requests went to other instances, whose engines are the same and refuse too; the refusal of an instance counted as 'not sent', so that the next one was asked without a retry, and a prompt prefilled here was prefilled there again for nothing.

A request is now forwarded only if targets do not take connections or the service is out of reach, and each call that may arrive beyond the first takes a retry.

--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -206,6 +207,17 @@
 	}
 }
 
+// AnyUnreachable reports whether connections to a target of a service could not be
+// made a moment ago.
+func (scheduler *Scheduler) AnyUnreachable(service string) bool {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(scheduler.services[service], func(state *targetState) bool {
+		return state.connectFailures > 0 && now.Before(state.pausedUntil)
+	})
+}
+
 // MarkReachable records that a target answered, which resets its backoff.
 func (scheduler *Scheduler) MarkReachable(id string) {
 	scheduler.mutex.Lock()
--- a/internal/transport/proxy/call.go
+++ b/internal/transport/proxy/call.go
@@ -70,7 +70,14 @@
 // spendRetry takes one retry from the service's budget and reports whether it
 // was available. After a call that was not sent, none is needed.
 func (exchange *exchange) spendRetry(outcome callOutcome) bool {
-	return outcome == outcomeUnsent || exchange.proxy.retryBudget(exchange.service.Name).Spend(exchange.proxy.extraRetries())
+	if outcome == outcomeUnsent {
+		return true
+	}
+	if !exchange.proxy.retryBudget(exchange.service.Name).Spend(exchange.proxy.extraRetries()) {
+		return false
+	}
+	exchange.spentRetries++
+	return true
 }
 
 // endWithoutRetry sends the fallback response, or an error if there is none.
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -85,12 +85,21 @@
 // choosePeer returns an instance to forward the request to. Unsent is the number of
 // calls that reached no target; local reports whether there is a target to call. A
 // request is forwarded if the service is out of reach, and otherwise only if targets
-// do not take connections or there is none.
+// do not take connections: those that are busy are so for all instances.
 func (exchange *exchange) choosePeer(unsent int, local bool, tried []string) (string, bool) {
-	if exchange.forwarded || (local && unsent < maxUnsentCalls && !exchange.proxy.reach.Lost(exchange.service.Name)) {
+	unreachable := unsent >= maxUnsentCalls || (!local && exchange.proxy.scheduler.AnyUnreachable(exchange.service.Name))
+	if exchange.forwarded || (!unreachable && !exchange.outOfReach()) {
 		return "", false
 	}
-	return exchange.proxy.peers.Choose(exchange.service.Name, tried)
+	peer, ok := exchange.proxy.peers.Choose(exchange.service.Name, tried)
+	return peer, ok && exchange.payArrival()
+}
+
+// payArrival takes a retry from the budget if the next call that reaches a target is
+// not the first one, unless that retry has been taken. It reports whether the call
+// may be made.
+func (exchange *exchange) payArrival() bool {
+	return exchange.arrivals.Load() <= exchange.spentRetries || exchange.spendRetry(outcomeMayHaveRun)
 }
 
 // outOfReach reports whether no target of the service can be called from here.
@@ -107,18 +116,16 @@
 	return exchange.proxy.reach.LostSignal(exchange.service.Name)
 }
 
-// forward has another instance run the request. Errors are those of Peers.Do; a
-// request that the instance refuses without having run it counts as not sent.
+// forward has another instance run the request. Errors are those of Peers.Do.
 func (exchange *exchange) forward(ctx context.Context, peer string, forwarded *site.ForwardedRequest) (*back.Response, site.ResponseInfo, error) {
 	response, err := exchange.proxy.peers.Do(ctx, peer, forwarded)
+	exchange.countArrival(err)
 	if err != nil {
 		return nil, site.ResponseInfo{}, err
 	}
 	info := exchange.proxy.codec.ParseResponse(response.Status, response.Header)
-	if response.Header.Get(front.HeaderRun) == code.NotRun.String() {
-		discard(response)
-		refusal := code.Errorf(code.PeerUnreachable, "instance %s refused the request with status %d", peer, response.Status)
-		return nil, info, &back.CallError{State: back.NotSent, Err: refusal}
+	if run := response.Header.Get(front.HeaderRun); run != "" {
+		info.NotRun = run == code.NotRun.String()
 	}
 	return response, info, nil
 }
--- a/internal/transport/proxy/detour_test.go
+++ b/internal/transport/proxy/detour_test.go
@@ -53,10 +53,10 @@
 }
 
 // newLostHarness returns a harness whose instance reaches no target of "desk".
-func newLostHarness(t *testing.T, peers *fakePeers) *harness {
+func newLostHarness(t *testing.T, peers *fakePeers, opts ...proxy.Option) *harness {
 	t.Helper()
 	tracker := reach.New()
-	harness := newHarness(t, proxy.WithPeers(peers, tracker))
+	harness := newHarness(t, append(opts, proxy.WithPeers(peers, tracker))...)
 	closed := httptest.NewServer(nil)
 	closed.Close()
 	targets := []site.Target{}
@@ -160,3 +160,39 @@
 		t.Errorf("status = %d, headers = %v after %d instances, want 503 and not-run after 0", recorder.Code, recorder.Header(), len(peers.forwarded))
 	}
 }
+
+// Guards against extra calls beyond the retry budget: another instance that refused a
+// request may have sent it to targets, and one that gets a request whose prompt was
+// prefilled here has it prefilled again.
+func TestForwardingStaysWithinRetryBudget(t *testing.T) {
+	peers := &fakePeers{instances: []string{"b", "c"}, do: map[string]func(http.ResponseWriter, *site.ForwardedRequest){
+		"b": refuseForwarded, "c": respondForwarded,
+	}}
+	harness := newLostHarness(t, peers, withoutRetryBudget())
+	if response := harness.do(harness.newRequest(http.MethodPost, "/book/x")); response.status != http.StatusServiceUnavailable || len(peers.forwarded) != 1 {
+		t.Errorf("status = %d after %d instances, want %d after 1", response.status, len(peers.forwarded), http.StatusServiceUnavailable)
+	}
+	peers.forwarded = nil
+	harness.startTarget("p1", "llm", site.Prefill, respondPrefilled)
+	for _, id := range []string{"d1", "d2"} {
+		harness.startTarget(id, "llm", site.Decode, respondNotRun).Close()
+	}
+	if response := harness.do(harness.newRequest(http.MethodPost, "/ask/x")); response.status != http.StatusServiceUnavailable || len(peers.forwarded) != 0 {
+		t.Errorf("status = %d after %d instances, want %d after 0", response.status, len(peers.forwarded), http.StatusServiceUnavailable)
+	}
+}
+
+// Guards against moving load to other instances when targets are busy, not out of
+// reach: all instances would do so at once.
+func TestBusyTargetsAreNotWorkedAround(t *testing.T) {
+	peers := &fakePeers{instances: []string{"b"}, do: map[string]func(http.ResponseWriter, *site.ForwardedRequest){"b": respondForwarded}}
+	harness := newHarness(t, proxy.WithPeers(peers, reach.New()))
+	harness.startTarget("p1", "llm", site.Prefill, respondPrefilled)
+	harness.startTarget("d1", "llm", site.Decode, respondNotRun)
+	for range 3 {
+		harness.do(harness.newRequest(http.MethodPost, "/ask/x"))
+	}
+	if len(peers.forwarded) != 0 {
+		t.Errorf("forwarded requests = %d, want 0", len(peers.forwarded))
+	}
+}
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,9 +34,11 @@
 	team     site.Team
 	service  site.Service
 
-	runs         int  // targets that may have run the request
-	usageCounted bool // the request is in the usage report
-	headerSent   bool // the response's header was sent to the caller
+	arrivals     atomic.Int64 // calls that may have reached a target, here or from another instance
+	spentRetries int64        // taken from the retry budget
+	runs         int          // targets that may have run the request
+	usageCounted bool         // the request is in the usage report
+	headerSent   bool         // the response's header was sent to the caller
 
 	// Fields of the log line.
 	status          string
@@ -148,13 +151,23 @@
 		ReuseConnection: true,
 	})
 	if err != nil {
+		exchange.countArrival(err)
 		return nil, site.ResponseInfo{}, err
 	}
+	exchange.countArrival(nil)
 	proxy.reach.RecordReceived(exchange.service.Name)
 	proxy.scheduler.MarkReachable(call.Target.ID)
 	return response, proxy.observe(call.Target, response), nil
 }
 
+// countArrival counts a call that may have reached a target.
+func (exchange *exchange) countArrival(err error) {
+	var callError *back.CallError
+	if !errors.As(err, &callError) || callError.State != back.NotSent {
+		exchange.arrivals.Add(1)
+	}
+}
+
 // recordCall keeps a call for the log line and the metrics.
 func (exchange *exchange) recordCall(target site.Target, stage, outcome string, started time.Time) {
 	exchange.recordFailedCall(target, stage, outcome, nil, started)
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -250,7 +250,7 @@
 	if run == nil {
 		return
 	}
-	if !exchange.spendRetry(outcomeMayHaveRun) {
+	if run.peer == "" && !exchange.spendRetry(outcomeMayHaveRun) { // choosePeer has paid for a peer
 		exchange.releaseRun(run)
 		return
 	}
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		return
 	}
-	if !exchange.spendRetry(outcomeMayHaveRun) {
+	if call.peer == "" && !exchange.spendRetry(outcomeMayHaveRun) { // choosePeer has paid for a peer
 		calls.release(call)
 		return
 	}
