A stopping instance takes no requests later than 2.9 s after the signal

An instance got SIGTERM at 28.500 s, took a stream at 31.507 s on a kept connection, 3.007 s later, and cut it at 35.602 s, near the end of its grace period, while its engine was at work. Only requests sent up to 3 s after the signal may be cut so. The time was 3.2 s; the load balancer needs 2 s. TestStopTakesNoLateRequests fails with 3.2 s.

--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -93,8 +93,9 @@
 	memberRetryDelay = 500 * time.Millisecond
 	// minDrainTime is the least time that a stopping instance keeps serving: the
 	// load balancer takes it out of rotation after two failed checks, a second
-	// apart.
-	minDrainTime = 3200 * time.Millisecond
+	// apart. Requests that are taken later than 3 s would have to end within the
+	// grace period, however long they take.
+	minDrainTime = 2900 * time.Millisecond
 	// shutdownReserve is the part of the grace period that is kept for ending
 	// the process.
 	shutdownReserve = 700 * time.Millisecond
--- a/internal/transport/node/stop_test.go
+++ b/internal/transport/node/stop_test.go
@@ -6,8 +6,10 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/transport/node"
 )
 
 // Guards against closing a caller's connection without an answer when the grace
@@ -49,3 +51,15 @@
 		t.Errorf("status = %d, want %d", response.StatusCode, code.Lookup(code.TargetTimeout).Status)
 	}
 }
+
+// Guards against taking requests so late in a stop that the end of the grace period
+// cuts their answers.
+func TestStopTakesNoLateRequests(t *testing.T) {
+	const (
+		outOfRotation  = 2 * time.Second // two failed checks of the load balancer
+		lastMayBeEnded = 3 * time.Second // answers to later requests may not be cut
+	)
+	if node.MinDrainTime <= outOfRotation || node.MinDrainTime >= lastMayBeEnded {
+		t.Errorf("MinDrainTime = %v, want more than %v and less than %v", node.MinDrainTime, outOfRotation, lastMayBeEnded)
+	}
+}
