Events of a standby run that outlives the silent run are forwarded at once

By reading: if the silent run broke off at the moment at which the standby run had its first event, the standby became active with that event pending, and if its response had ended as well, the loop read its closed channel without end. Pending events are now forwarded first, and the end of a run is kept. No test hits that moment.

--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -131,8 +132,9 @@
 // receive keeps a part of the body. Results that end the body set run.ended.
 func (run *decodeRun) receive(result runResult, ok bool) {
 	switch {
+	case run.ended != nil:
 	case !ok:
-		run.ended = run.ctx.Err()
+		run.ended = cmp.Or(run.ctx.Err(), io.ErrUnexpectedEOF)
 	case result.err != nil:
 		run.ended = result.err
 	default:
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -147,6 +147,11 @@
 // standby run take over if it is silent.
 func (generation *generation) runActive(ctx context.Context) callOutcome {
 	stream := generation.stream
+	if generation.active.response != nil { // it was the standby run, whose events are pending
+		if outcome, ended := generation.forwardActive(); ended {
+			return outcome
+		}
+	}
 	silence := time.NewTimer(stream.silenceTimeout())
 	defer silence.Stop()
 	lost := generation.exchange.lostSignal()
