--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -266,6 +266,23 @@
 	exchange.firstByte = time.Since(exchange.started)
 }
 
+// finalError returns the error of a request that is not retried. RetryAfter is
+// the retry delay, before jitter, that the caller gets if no target ran the
+// request.
+func (exchange *exchange) finalError(ctx context.Context, retryAfter time.Duration) error {
+	run := code.NotRun
+	if exchange.runs > 0 {
+		run = code.RunUnknown
+	}
+	if err := exchange.contextError(ctx, run); err != nil {
+		return err
+	}
+	if exchange.runs > 0 {
+		return code.Errorf(code.TargetFailed, "no target gave a complete answer")
+	}
+	return exchange.noTargetError(retryAfter)
+}
+
 // callerLeft reports whether the caller has gone before its deadline.
 func (exchange *exchange) callerLeft() bool {
 	return exchange.callerCtx.Err() != nil && exchange.remaining() > 0
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"net/http"
-	"slices"
 	"time"
 
 	"mangopier.example/mangopier/internal/coordination/health"
-	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/site"
-	"mangopier.example/mangopier/internal/transport/back"
 )
 
 // minRemaining is the time before the deadline from which a generation is not
@@ -239,71 +235,6 @@
 	}
 }
 
-// startStandby starts a run that is to resume the stream of the silent active run,
-// if the route, the retry budget and the engines allow it.
-func (generation *generation) startStandby(ctx context.Context) {
-	exchange, active := generation.exchange, generation.active
-	attempts := exchange.runs
-	if active.response == nil {
-		attempts++
-	}
-	if generation.standby != nil || !exchange.route.Resumable || attempts >= exchange.route.MaxAttempts ||
-		generation.calls >= maxCalls || exchange.remaining() < minRemaining {
-		return
-	}
-	run := generation.choose(append(slices.Clone(generation.tried), active.destination().ID))
-	if run == nil {
-		return
-	}
-	if run.peer == "" && !exchange.spendRetry(outcomeMayHaveRun) { // choosePeer has paid for a peer
-		exchange.releaseRun(run)
-		return
-	}
-	// The active run uses the handle.
-	generation.start(ctx, run, promptSource{prefiller: generation.source.prefiller})
-	generation.standby = run
-}
-
-// handleStandby handles a result of the standby run, and drops the run if it cannot
-// resume the stream.
-func (generation *generation) handleStandby(result runResult, ok bool) {
-	exchange, run := generation.exchange, generation.standby
-	if run.response == nil {
-		if generation.accept(run, result) != outcomeOpened {
-			generation.failStandby()
-		}
-		return
-	}
-	run.receive(result, ok)
-	if run.ended != nil && !run.hasEvent() {
-		exchange.recordFailedCall(run.destination(), run.stage(), "broken", run.ended, run.started)
-		generation.reportFailure(run)
-		generation.failStandby()
-	}
-}
-
-// failStandby ends a standby run that failed.
-func (generation *generation) failStandby() {
-	run := generation.standby
-	generation.standby = nil
-	generation.tried = append(generation.tried, run.destination().ID)
-	generation.exchange.endRun(run)
-}
-
-// takeOver makes the standby run the active one and forwards its events.
-func (generation *generation) takeOver() (callOutcome, bool) {
-	exchange := generation.exchange
-	if generation.active.response == nil { // it may run
-		exchange.runs++
-		exchange.releaseHandle(generation.active.handle)
-	}
-	generation.stream.endReason, generation.stream.endErr = "silent", nil
-	generation.recordEnd(outcomeFailed)
-	generation.dropActive(outcomeMayHaveRun)
-	generation.active, generation.standby = generation.standby, nil
-	return generation.forwardActive()
-}
-
 // dropActive ends the active run.
 func (generation *generation) dropActive(outcome callOutcome) {
 	exchange, run := generation.exchange, generation.active
@@ -317,20 +248,6 @@
 	}
 }
 
-// dropStandby ends the standby run, if there is one.
-func (generation *generation) dropStandby() {
-	run := generation.standby
-	if run == nil {
-		return
-	}
-	generation.standby = nil
-	if run.response == nil {
-		generation.exchange.runs++ // it may run
-	}
-	generation.exchange.recordCall(run.destination(), run.stage(), "dropped", run.started)
-	generation.exchange.endRun(run)
-}
-
 // stop ends all runs.
 func (generation *generation) stop() {
 	generation.dropStandby()
@@ -339,67 +256,3 @@
 		generation.active = nil
 	}
 }
-
-// standbyResults returns the results of the standby run, nil if there is none.
-func (generation *generation) standbyResults() <-chan runResult {
-	if generation.standby == nil {
-		return nil
-	}
-	return generation.standby.results
-}
-
-// finalError returns the error of a request that is not retried. RetryAfter is
-// the retry delay, before jitter, that the caller gets if no target ran the
-// request.
-func (exchange *exchange) finalError(ctx context.Context, retryAfter time.Duration) error {
-	run := code.NotRun
-	if exchange.runs > 0 {
-		run = code.RunUnknown
-	}
-	if err := exchange.contextError(ctx, run); err != nil {
-		return err
-	}
-	if exchange.runs > 0 {
-		return code.Errorf(code.TargetFailed, "no target gave a complete answer")
-	}
-	return exchange.noTargetError(retryAfter)
-}
-
-// maxCleanups bounds the calls under way that release prompts. Beyond it, a
-// prompt stays with its engine until the engine releases it by itself.
-const maxCleanups = 8
-
-// cleanupTimeout bounds one call that releases a prompt.
-const cleanupTimeout = time.Second
-
-// releaseHandle has an engine release a prefilled prompt that no engine will
-// fetch. The call runs in the background. An engine that leaves gets none; it
-// releases the prompt by itself.
-func (exchange *exchange) releaseHandle(handle *site.KVHandle) {
-	if handle == nil {
-		return
-	}
-	proxy := exchange.proxy
-	if proxy.scheduler.IsLeaving(place.NewLeavingTarget(handle.Engine)) {
-		return
-	}
-	select {
-	case proxy.cleanupSlots <- struct{}{}:
-	default:
-		return
-	}
-	proxy.cleanups.Add(1)
-	go func() {
-		defer proxy.cleanups.Done()
-		defer func() { <-proxy.cleanupSlots }()
-		ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
-		defer cancel()
-		response, err := proxy.client.Do(ctx, &back.Call{
-			Address: handle.Address, Method: http.MethodDelete, Path: proxy.codec.KVHandlePath(handle.ID), ReuseConnection: true,
-		})
-		if err == nil {
-			proxy.observe(handle.Engine, response)
-			discard(response)
-		}
-	}()
-}
