A forwarded request runs once; the first instance repeats it

Each instance that a request was forwarded to could use up all of the route's runs, so that a safe call ran four times where two are allowed (TestForwardedRequestRunsNoMoreThanAllowed: 'status = 500 after 4 runs, want 500 after 2'). The other instance now makes one run, and the first one counts and repeats; the runs made so far need not be sent along, so that a refusal tells of this run only.

--- a/internal/protocol/site/forward.go
+++ b/internal/protocol/site/forward.go
@@ -12,5 +12,4 @@
 	Service         string
 	ManifestVersion int64         // that the route and the team are taken from
 	Timeout         time.Duration // until the caller's deadline
-	Runs            int           // targets that may have run the request already
 }
--- a/internal/transport/detour/detour.go
+++ b/internal/transport/detour/detour.go
@@ -25,7 +25,6 @@
 	Service         string       `cbor:"4,keyasint"`
 	ManifestVersion int64        `cbor:"5,keyasint"`
 	TimeoutNS       int64        `cbor:"6,keyasint"`
-	Runs            int          `cbor:"7,keyasint"`
 }
 
 // wireResponse is the first message of a response, which holds the status and the
@@ -44,7 +43,6 @@
 		Service:         request.Service,
 		ManifestVersion: request.ManifestVersion,
 		TimeoutNS:       request.Timeout.Nanoseconds(),
-		Runs:            request.Runs,
 	}
 	wireRequest.Request.APIKey = ""
 	return wireRequest
@@ -58,6 +56,5 @@
 		Service:         wireRequest.Service,
 		ManifestVersion: wireRequest.ManifestVersion,
 		Timeout:         time.Duration(wireRequest.TimeoutNS),
-		Runs:            wireRequest.Runs,
 	}
 }
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -58,7 +58,6 @@
 		return code.Errorf(code.NotReady, "no manifest has been received yet")
 	}
 	exchange.request, exchange.route, exchange.team = &request.Request, &request.Route, request.Team
-	exchange.runs = request.Runs
 	exchange.deadline = exchange.started.Add(request.Timeout)
 	service, ok := exchange.manifest.Services[request.Service]
 	if !ok {
@@ -130,8 +129,10 @@
 func (exchange *exchange) newForwarded(lastEventID string) *site.ForwardedRequest {
 	forwarded := &site.ForwardedRequest{
 		Request: *exchange.request, Route: *exchange.route, Team: exchange.team, Service: exchange.service.Name,
-		ManifestVersion: exchange.manifest.Version, Timeout: exchange.remaining(), Runs: exchange.runs,
+		ManifestVersion: exchange.manifest.Version, Timeout: exchange.remaining(),
 	}
+	// This instance counts the runs and repeats the request if it may.
+	forwarded.Route.MaxAttempts = 1
 	forwarded.Request.APIKey = ""
 	forwarded.Request.LastEventID = lastEventID
 	return forwarded
--- a/internal/transport/proxy/detour_test.go
+++ b/internal/transport/proxy/detour_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -219,3 +220,26 @@
 		t.Errorf("forwarded requests = %d, want 0", len(peers.forwarded))
 	}
 }
+
+// Guards against more runs than the route allows: each instance that a request is
+// forwarded to could use up all of them.
+func TestForwardedRequestRunsNoMoreThanAllowed(t *testing.T) {
+	var runs atomic.Int64
+	fail := countCalls(&runs, func(w http.ResponseWriter, r *http.Request) {
+		setResponseHeaders(w, r)
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	other := newHarness(t)
+	for _, id := range []string{"s1", "s2", "s3", "s4"} {
+		other.startTarget(id, "desk", site.NoStage, fail)
+	}
+	serve := func(w http.ResponseWriter, request *site.ForwardedRequest) {
+		other.proxy.ServeForwarded(t.Context(), w, request)
+	}
+	peers := &fakePeers{instances: []string{"b", "c"}, do: map[string]func(http.ResponseWriter, *site.ForwardedRequest){"b": serve, "c": serve}}
+	harness := newLostHarness(t, peers)
+	response := harness.do(harness.newRequest(http.MethodGet, "/read/x"))
+	if response.status != http.StatusInternalServerError || runs.Load() != 2 {
+		t.Errorf("status = %d after %d runs, want %d after 2, the route's limit", response.status, runs.Load(), http.StatusInternalServerError)
+	}
+}
