Connections that arrive together wait for the poller together

None was stuck: since each accepted connection waited for a round of the poller alone, and under load these rounds take long, so that the first streams had ended when the last began. Callers that connect in a burst waited for the same reason.

--- a/internal/transport/front/listener.go
+++ b/internal/transport/front/listener.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"errors"
 	"net"
 	"os"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 )
@@ -14,50 +16,141 @@
 // connection is closed on another goroutine in the meantime, its descriptor may
 // belong to a new connection, which then gets the event, for instance the close,
 // of the old one. So a new connection, which holds its descriptor already, is
-// handed over only after the poller has finished its batch.
+// handed over only after the poller has finished its batch. Connections that arrive
+// together wait for it together.
 type listener struct {
 	net.Listener
 
 	barriers []*barrier // one for each poller
+	accepted chan accepted
+	ready    []*nbio.Conn // handed over next; used by Accept
 	stopped  chan struct{}
 }
 
-// newListener wraps inner for an engine that has started pollers.
+// accepted is a new connection, or the error of an accept.
+type accepted struct {
+	conn net.Conn
+	err  error
+}
+
+// maxAccepted bounds the connections that wait for a poller.
+const maxAccepted = 256
+
+// newListener wraps inner for an engine that has started pollers. Close and stop have
+// to be called, in this order.
 func newListener(inner net.Listener, engine *nbio.Engine) (*listener, error) {
-	listener := &listener{Listener: inner, stopped: make(chan struct{})}
+	listener := &listener{Listener: inner, accepted: make(chan accepted, maxAccepted), stopped: make(chan struct{})}
 	for poller := range engine.NPoller {
 		barrier, err := newBarrier(engine, poller)
 		if err != nil {
-			listener.stop()
+			listener.closeBarriers()
 			return nil, err
 		}
 		listener.barriers = append(listener.barriers, barrier)
 	}
+	go listener.acceptConnections()
 	return listener, nil
 }
 
-// Accept returns the next connection as a *nbio.Conn.
+// acceptConnections accepts connections until the listener is closed. It closes the
+// channel at its end.
+func (listener *listener) acceptConnections() {
+	defer close(listener.accepted)
+	for {
+		conn, err := listener.Listener.Accept()
+		select {
+		case listener.accepted <- accepted{conn: conn, err: err}:
+		case <-listener.stopped:
+			if conn != nil {
+				_ = conn.Close()
+			}
+			return
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptErrorBackoff)
+		}
+	}
+}
+
+// Accept returns the next connection as a *nbio.Conn. It is called by one goroutine.
 func (listener *listener) Accept() (net.Conn, error) {
-	accepted, err := listener.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for len(listener.ready) == 0 {
+		next, ok := <-listener.accepted
+		if !ok {
+			return nil, net.ErrClosed
+		}
+		if next.err != nil {
+			return nil, next.err
+		}
+		if err := listener.prepare(next.conn); err != nil {
+			return nil, err
+		}
 	}
-	conn, err := nbio.NBConn(accepted)
-	if err != nil {
-		_ = accepted.Close()
-		return nil, err
+	conn := listener.ready[0]
+	listener.ready = listener.ready[1:]
+	return conn, nil
+}
+
+// prepare makes a connection, and all others that have been accepted since, ready to
+// be handed over.
+func (listener *listener) prepare(conn net.Conn) error {
+	pollers := map[int]bool{}
+	for more := true; more; {
+		converted, err := nbio.NBConn(conn)
+		if err != nil {
+			_ = conn.Close()
+		} else {
+			listener.ready = append(listener.ready, converted)
+			pollers[converted.Hash()%len(listener.barriers)] = true
+		}
+		conn, more = listener.acceptedNow()
+	}
+	for poller := range pollers {
+		if !listener.barriers[poller].wait(listener.stopped) {
+			listener.closeReady()
+			return net.ErrClosed
+		}
+	}
+	return nil
+}
+
+// acceptedNow returns a connection that has been accepted, if there is one. Errors of
+// an accept are left out, since the next accept returns them again.
+func (listener *listener) acceptedNow() (net.Conn, bool) {
+	if len(listener.ready) >= maxAccepted {
+		return nil, false
 	}
-	if !listener.barriers[conn.Hash()%len(listener.barriers)].wait(listener.stopped) {
+	select {
+	case next, ok := <-listener.accepted:
+		return next.conn, ok && next.err == nil
+	default:
+		return nil, false
+	}
+}
+
+func (listener *listener) closeReady() {
+	for _, conn := range listener.ready {
 		_ = conn.Close()
-		return nil, net.ErrClosed
 	}
-	return conn, nil
+	listener.ready = nil
 }
 
-// stop ends an Accept that waits for a poller. The engine closes its ends of the
-// barriers.
+// stop ends an Accept that waits for a poller, and closes the connections that have
+// not been handed over. The engine closes its ends of the barriers.
 func (listener *listener) stop() {
 	close(listener.stopped)
+	for next := range listener.accepted {
+		if next.conn != nil {
+			_ = next.conn.Close()
+		}
+	}
+	listener.closeBarriers()
+}
+
+func (listener *listener) closeBarriers() {
 	for _, barrier := range listener.barriers {
 		_ = barrier.peer.Close()
 	}
