--- /dev/null
+++ b/internal/transport/proxy/crash_test.go
@@ -0,0 +1,115 @@
+package proxy_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"mangopier.example/mangopier/internal/protocol/site"
+)
+
+// crashingTarget is a target that crashes when it begins to run a request with a
+// certain body: all its connections end and it takes no new ones.
+type crashingTarget struct {
+	server           *httptest.Server
+	next             http.HandlerFunc
+	crashes          *atomic.Int64
+	crashesOnPrefill bool
+	hasEnded         atomic.Bool
+}
+
+const crashingBody = "crashes targets"
+
+func (target *crashingTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if string(body) != crashingBody || (r.Header.Get("Serving-Stage") != "" && !target.crashesOnPrefill) {
+		target.next(w, r)
+		return
+	}
+	if target.hasEnded.CompareAndSwap(false, true) {
+		target.crashes.Add(1)
+		_ = target.server.Listener.Close()
+		target.server.CloseClientConnections()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// startCrashingTarget starts a target that counts its crash in crashes and responds to
+// all other requests with next.
+func (harness *harness) startCrashingTarget(id, service string, stage site.Stage, crashes *atomic.Int64, next http.HandlerFunc) *crashingTarget {
+	harness.t.Helper()
+	target := &crashingTarget{next: next, crashes: crashes}
+	target.server = httptest.NewUnstartedServer(target)
+	target.server.Start()
+	harness.t.Cleanup(func() {
+		target.server.CloseClientConnections()
+		target.server.Close()
+	})
+	harness.addTarget(site.Target{
+		ID: id, Service: service, Address: target.server.Listener.Addr().String(), DataCenter: "tas-a", Slots: 6, Stage: stage,
+	})
+	return target
+}
+
+func (harness *harness) newCrashingRequest(path string) *http.Request {
+	request := harness.newRequest(http.MethodPost, path)
+	request.Body, request.ContentLength = io.NopCloser(strings.NewReader(crashingBody)), int64(len(crashingBody))
+	return request
+}
+
+// Guards against running a request again that crashes each target that runs it: the
+// caller sends it again and again, and each time another target is lost.
+func TestRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	for _, path := range []string{"/book/x", "/read/x", "/ask/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			harness := newHarness(t)
+			var crashes atomic.Int64
+			harness.startTarget("p1", "llm", site.Prefill, respondPrefilled)
+			for i := range 8 {
+				harness.startCrashingTarget(fmt.Sprint("s", i), "desk", site.NoStage, &crashes, respondOK)
+				harness.startCrashingTarget(fmt.Sprint("d", i), "llm", site.Decode, &crashes, func(w http.ResponseWriter, r *http.Request) { sendEvents(w, r, 3) })
+			}
+			for range 12 {
+				if response := harness.do(harness.newCrashingRequest(path)); response.status == http.StatusOK {
+					t.Errorf("status of a request that crashes its targets = 200")
+				}
+				harness.proxy.Wait()
+			}
+			if crashes.Load() != 3 {
+				t.Errorf("targets that crashed under the request = %d, want 3", crashes.Load())
+			}
+			response := harness.do(harness.newCrashingRequest(path))
+			seconds, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
+			if response.status != http.StatusServiceUnavailable || response.header.Get("X-Mangopier-Run") != "not-run" || err != nil || seconds < 60 {
+				t.Errorf("response = %d with headers %v, want 503, not-run, and a Retry-After of 60 or more", response.status, response.header)
+			}
+			if response := harness.do(harness.newRequest(http.MethodPost, path)); response.status != http.StatusOK {
+				t.Errorf("status of another request of the same caller = %d, want 200", response.status)
+			}
+		})
+	}
+}
+
+// Guards against losing one prefill engine after the other to a prompt that never
+// reaches a decode engine.
+func TestPromptThatCrashesPrefillEnginesIsQuarantined(t *testing.T) {
+	harness := newHarness(t)
+	var crashes atomic.Int64
+	for i := range 8 {
+		engine := harness.startCrashingTarget(fmt.Sprint("p", i), "llm", site.Prefill, &crashes, respondPrefilled)
+		engine.crashesOnPrefill = true
+	}
+	harness.startTarget("d1", "llm", site.Decode, respondNotRun)
+	for range 12 {
+		harness.do(harness.newCrashingRequest("/ask/x"))
+		harness.proxy.Wait()
+	}
+	if crashes.Load() != 3 {
+		t.Errorf("prefill engines that crashed under the prompt = %d, want 3", crashes.Load())
+	}
+}
