Requests that crash their targets are quarantined by all instances

Cause: on the path of mangopierd nothing attributed the end of a target to the requests that ran there; package poison is used by mangopier serve alone, and heartbeats had no field for it.

Why it works: a run whose connection ends counts against its request once the target is known to have ended unannounced; three distinct targets without a completed run between quarantine it for ten minutes, at every instance, since heartbeats carry the suspects. Requests that have completed before need crashes one after the other, so that a mass crash does not refuse a team's reads.

Ruled out: counting resets alone (resets, cuts and stops look alike); a threshold of two (requests resumed at the same second engine are hit too).

--- /dev/null
+++ b/internal/coordination/crash/crash_test.go
@@ -0,0 +1,310 @@
+package crash_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mangopier.example/mangopier/internal/coordination/crash"
+	"mangopier.example/mangopier/internal/protocol/site"
+)
+
+func target(i int) site.Target {
+	return site.Target{ID: fmt.Sprint("s", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Started: time.UnixMilli(1_771_142_700_000)}
+}
+
+func newTracker(targets int, opts ...crash.Option) *crash.Tracker {
+	tracker := crash.New(opts...)
+	tracker.SetTargets(list(targets))
+	return tracker
+}
+
+func list(targets int) []site.Target {
+	var listed []site.Target
+	for i := range targets {
+		listed = append(listed, target(i))
+	}
+	return listed
+}
+
+// loseRun has a target crash while it runs a request.
+func loseRun(tracker *crash.Tracker, fingerprint crash.Fingerprint, i int) {
+	if tracker.Begin(fingerprint, target(i)).End(crash.Lost) {
+		tracker.RecordRefused(target(i))
+	}
+}
+
+func isQuarantined(tracker *crash.Tracker, fingerprint crash.Fingerprint) bool {
+	_, quarantined := tracker.Quarantined(fingerprint)
+	return quarantined
+}
+
+const fingerprint = crash.Fingerprint(7)
+
+// Guards against running a request at a fourth target, and against refusing it before
+// the third has crashed, or for good.
+func TestQuarantineAfterThreeTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(9)
+		for i := range 3 {
+			if isQuarantined(tracker, fingerprint) {
+				t.Errorf("quarantined after %d crashes, want after 3", i)
+			}
+			loseRun(tracker, fingerprint, i)
+			time.Sleep(time.Second)
+		}
+		if remaining, ok := tracker.Quarantined(fingerprint); !ok || remaining != 10*time.Minute-time.Second {
+			t.Errorf("Quarantined() = %v, %t, want 9m59s, true", remaining, ok)
+		}
+		time.Sleep(10 * time.Minute)
+		if isQuarantined(tracker, fingerprint) {
+			t.Error("quarantined after the quarantine")
+		}
+		loseRun(tracker, fingerprint, 4)
+		if !isQuarantined(tracker, fingerprint) {
+			t.Error("not quarantined after one more crash")
+		}
+	})
+}
+
+// Guards against blaming requests for ends of connections and of targets that have
+// other causes.
+func TestOnlyCrashesCount(t *testing.T) {
+	tests := map[string]func(tracker *crash.Tracker, i int){
+		"connection reset at a target that goes on": func(tracker *crash.Tracker, i int) {
+			tracker.Begin(fingerprint, target(i)).End(crash.Lost)
+		},
+		"connection refused with no run lost": func(tracker *crash.Tracker, i int) {
+			tracker.Begin(fingerprint, target(i)).End(crash.Inconclusive)
+			tracker.RecordRefused(target(i))
+		},
+		"run completed before the target crashed": func(tracker *crash.Tracker, i int) {
+			tracker.Begin(fingerprint, target(i)).End(crash.Completed)
+			tracker.RecordRefused(target(i))
+		},
+		"run lost long before": func(tracker *crash.Tracker, i int) {
+			tracker.Begin(fingerprint, target(i)).End(crash.Lost)
+			time.Sleep(10 * time.Second)
+			tracker.RecordRefused(target(i))
+		},
+		"target that leaves": func(tracker *crash.Tracker, i int) {
+			tracker.MarkLeaving(target(i).ID, target(i).Started.UnixMilli())
+			loseRun(tracker, fingerprint, i)
+		},
+		"target that serves on after its entry has gone": func(tracker *crash.Tracker, i int) {
+			run := tracker.Begin(fingerprint, target(i))
+			tracker.SetTargets(list(i))
+			run.End(crash.Lost)
+			tracker.RecordRefused(target(i))
+		},
+		"the same target again": func(tracker *crash.Tracker, _ int) { loseRun(tracker, fingerprint, 0) },
+	}
+	for name, lose := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tracker := newTracker(9)
+				for i := 8; i > 0; i-- {
+					lose(tracker, i)
+					time.Sleep(time.Second)
+				}
+				if isQuarantined(tracker, fingerprint) {
+					t.Error("request is quarantined, want not")
+				}
+			})
+		})
+	}
+}
+
+// Guards against missing a crash of which only the list of targets tells, such as one
+// after which the host is silent, or a restart under the same ID.
+func TestListOfTargetsShowsCrash(t *testing.T) {
+	tests := map[string]func(listed []site.Target) []site.Target{
+		"entry expires":   func(listed []site.Target) []site.Target { return listed[1:] },
+		"target restarts": func(listed []site.Target) []site.Target { listed[0].Started = time.Now(); return listed },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tracker := newTracker(9)
+				listed := list(9)
+				for i := range 3 {
+					tracker.Begin(fingerprint, target(i)).End(crash.Abandoned)
+					time.Sleep(4 * time.Second)
+					listed = change(listed)
+					tracker.SetTargets(listed)
+					if name == "target restarts" {
+						listed = listed[1:] // the next one restarts too
+					}
+				}
+				if !isQuarantined(tracker, fingerprint) {
+					t.Error("request is not quarantined after three crashes")
+				}
+			})
+		})
+	}
+}
+
+// A read that a team sends all the time runs at many targets at once. Guards against
+// refusing it since all of them crash together or in turn.
+func TestFrequentRequestSurvivesMassCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := newTracker(9), newTracker(9)
+		for _, tracker := range []*crash.Tracker{first, second} {
+			tracker.Begin(fingerprint, target(8)).End(crash.Completed)
+			var runs []*crash.Run
+			for i := range 8 {
+				runs = append(runs, tracker.Begin(fingerprint, target(i)))
+			}
+			for i, run := range runs {
+				run.End(crash.Lost)
+				tracker.RecordRefused(target(i))
+			}
+		}
+		second.Merge("first", first.Report())
+		if isQuarantined(first, fingerprint) || isQuarantined(second, fingerprint) {
+			t.Error("request is quarantined after a mass crash")
+		}
+		for i := range 2 { // it crashes targets after all
+			loseRun(first, fingerprint, i+2)
+		}
+		if !isQuarantined(first, fingerprint) {
+			t.Error("request is not quarantined after three crashes, one after the other")
+		}
+	})
+}
+
+// Guards against counting requests that ran beside one that crashes its targets: each
+// completes at the next target.
+func TestCompletedRunClears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(9)
+		const neighbor = crash.Fingerprint(8)
+		for i := range 6 {
+			loseRun(tracker, neighbor, i)
+			tracker.Begin(neighbor, target(8)).End(crash.Completed)
+			if isQuarantined(tracker, neighbor) {
+				t.Fatalf("request that completes is quarantined after crash %d", i+1)
+			}
+		}
+	})
+}
+
+// Guards against losing three targets at each instance, and more at one that starts.
+func TestInstancesCountTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		instances := []*crash.Tracker{newTracker(9), newTracker(9), newTracker(9)}
+		for i, tracker := range instances {
+			loseRun(tracker, fingerprint, i)
+			for _, other := range instances {
+				other.Merge("peer", tracker.Report())
+			}
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Minute)
+		newcomer := newTracker(9)
+		newcomer.Merge("peer", instances[0].Report())
+		for i, tracker := range append(instances, newcomer) {
+			if !isQuarantined(tracker, fingerprint) {
+				t.Errorf("request is not quarantined at instance %d", i)
+			}
+		}
+		instances[0].Begin(fingerprint, target(8)).End(crash.Completed)
+		for _, tracker := range append(instances, newcomer) {
+			tracker.Merge("peer", instances[0].Report())
+			if isQuarantined(tracker, fingerprint) {
+				t.Error("request is quarantined after it has completed at another instance")
+			}
+		}
+		instances[0].Merge("peer", newcomer.Report())
+		if isQuarantined(instances[0], fingerprint) {
+			t.Error("request is quarantined again by an older report")
+		}
+	})
+}
+
+// Reports travel back and forth between instances for as long as a request is known.
+// Guards against a quarantine that never ends since each report looks a little newer.
+func TestReportsDoNotProlongQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		instances := []*crash.Tracker{newTracker(9), newTracker(9)}
+		for i := range 3 {
+			loseRun(instances[0], fingerprint, i)
+		}
+		for range 12 * 60 * 4 {
+			reports := [][]crash.Suspect{instances[0].Report(), instances[1].Report()}
+			time.Sleep(250 * time.Millisecond) // on their way
+			instances[0].Merge("second", reports[1])
+			instances[1].Merge("first", reports[0])
+		}
+		for i, tracker := range instances {
+			if isQuarantined(tracker, fingerprint) {
+				t.Errorf("instance %d: quarantined for more than 12 minutes, want 10", i)
+			}
+		}
+	})
+}
+
+// Guards against memory and heartbeats that grow with the requests that run at
+// targets which crash.
+func TestSuspectsAreBounded(t *testing.T) {
+	tracker := newTracker(1)
+	for i := range 5000 {
+		tracker.Begin(crash.Fingerprint(i), target(0)).End(crash.Lost)
+	}
+	tracker.RecordRefused(target(0))
+	if count := len(tracker.Report()); count > 56 {
+		t.Errorf("suspects in a report = %d, want at most 56", count)
+	}
+}
+
+// Guards against a result that depends on which instance reports first.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		hashes := rapid.SliceOfN(rapid.Uint64Range(1, 3), 0, 3)
+		var reports []crash.Suspect
+		for range rapid.IntRange(1, 5).Draw(rt, "reports") {
+			reports = append(reports, crash.Suspect{
+				Fingerprint: fingerprint, Clearings: rapid.Uint32Range(0, 2).Draw(rt, "clearings"), Crashed: hashes.Draw(rt, "crashed"),
+			})
+		}
+		forward, backward := crash.New(), crash.New()
+		for i := range reports {
+			forward.Merge("peer", reports[i:i+1])
+			backward.Merge("peer", reports[len(reports)-1-i:len(reports)-i])
+		}
+		if isQuarantined(forward, fingerprint) != isQuarantined(backward, fingerprint) {
+			rt.Errorf("quarantined after reports %v: %t, in reverse order: %t", reports, isQuarantined(forward, fingerprint), isQuarantined(backward, fingerprint))
+		}
+	})
+}
+
+// Guards against a fingerprint that misses a repeated request, or that is shared by
+// different ones.
+func TestFingerprint(t *testing.T) {
+	request := func() *site.Request {
+		return &site.Request{AttemptID: "1", Method: "POST", Path: "/ask/7", URI: "/ask/7?page=1", Body: []byte("body"), Header: map[string][]string{"X": {"1"}}}
+	}
+	base := crash.NewFingerprint("press", request())
+	repeated := request()
+	repeated.AttemptID, repeated.URI, repeated.Header = "2", "/ask/7?page=2", nil
+	if crash.NewFingerprint("press", repeated) != base {
+		t.Error("fingerprint of a repeated request differs")
+	}
+	for name, change := range map[string]func(*site.Request){
+		"method": func(request *site.Request) { request.Method = "GET" },
+		"path":   func(request *site.Request) { request.Path = "/ask/8" },
+		"body":   func(request *site.Request) { request.Body = []byte("other") },
+	} {
+		other := request()
+		change(other)
+		if crash.NewFingerprint("press", other) == base {
+			t.Errorf("fingerprint of a request with another %s is the same", name)
+		}
+	}
+	if crash.NewFingerprint("council", request()) == base {
+		t.Error("fingerprint of another team's request is the same")
+	}
+}
--- /dev/null
+++ b/internal/coordination/crash/share.go
@@ -0,0 +1,138 @@
+package crash
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Suspect holds the crashes that count against a request, as instances exchange
+// them.
+type Suspect struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	Clearings   uint32      `cbor:"2,keyasint,omitempty"` // how often a completed run has cleared the request
+	Crashed     []uint64    `cbor:"3,keyasint,omitempty"` // hashes of distinct targets since the last clearing, sorted
+	Answered    bool        `cbor:"4,keyasint,omitempty"` // equal requests have completed before
+	AgeMS       int64       `cbor:"5,keyasint,omitempty"` // since the last crash or clearing, in milliseconds
+}
+
+const (
+	// reportedFor is how long a change is in each report. All instances get a
+	// report within that time, and several in most cases.
+	reportedFor = 15 * time.Second
+	// maxReported and maxRepeated bound one report: the changes of the last
+	// reportedFor, and a random choice of the older suspects, from which an instance
+	// that has just started learns of them.
+	maxReported = 48
+	maxRepeated = 8
+	// ageTolerance is by how much a change of another instance has to be newer to
+	// count as a later one. It covers the time that reports take.
+	ageTolerance = 5 * time.Second
+)
+
+// Report returns the suspects to send to other instances.
+func (tracker *Tracker) Report() []Suspect {
+	suspects := *tracker.suspects.Load()
+	if len(suspects) == 0 {
+		return nil
+	}
+	now := time.Now()
+	var recent, older []knownSuspect
+	for _, suspect := range suspects {
+		if now.Sub(suspect.changedAt) < reportedFor {
+			recent = append(recent, suspect)
+		} else {
+			older = append(older, suspect)
+		}
+	}
+	slices.SortFunc(recent, func(a, b knownSuspect) int {
+		return cmp.Or(cmp.Compare(len(b.Crashed), len(a.Crashed)), b.changedAt.Compare(a.changedAt), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	rand.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
+	reported := slices.Concat(recent[:min(len(recent), maxReported)], older[:min(len(older), maxRepeated)])
+	report := make([]Suspect, 0, len(reported))
+	for _, suspect := range reported {
+		suspect.AgeMS = max(0, now.Sub(suspect.changedAt).Milliseconds())
+		report = append(report, suspect.Suspect)
+	}
+	return report
+}
+
+// TakeNews reports whether the next report should go to all instances at once, since
+// this instance has found a request that has crashed more than one target.
+func (tracker *Tracker) TakeNews() bool {
+	if tracker.news.Load() <= 0 {
+		return false
+	}
+	tracker.news.Add(-1)
+	return true
+}
+
+// Merge adds the suspects of another instance. A report that arrives again changes
+// nothing.
+func (tracker *Tracker) Merge(instance string, report []Suspect) {
+	if len(report) == 0 || !tracker.hasChange(report) {
+		return
+	}
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	now := time.Now()
+	tracker.update(func(suspects map[Fingerprint]knownSuspect) {
+		for _, reported := range report {
+			local, known := suspects[reported.Fingerprint]
+			merged := tracker.merge(local, known, reported, now)
+			suspects[reported.Fingerprint] = merged
+			tracker.logQuarantine(merged, len(local.Crashed), instance)
+		}
+		tracker.deleteExpired(suspects, now)
+	})
+}
+
+// hasChange reports whether a report differs from what is known.
+func (tracker *Tracker) hasChange(report []Suspect) bool {
+	suspects, now := *tracker.suspects.Load(), time.Now()
+	return slices.ContainsFunc(report, func(reported Suspect) bool {
+		local, known := suspects[reported.Fingerprint]
+		merged := tracker.merge(local, known, reported, now)
+		return !known || local.Clearings != merged.Clearings || local.Answered != merged.Answered ||
+			!slices.Equal(local.Crashed, merged.Crashed) || !local.changedAt.Equal(merged.changedAt)
+	})
+}
+
+// merge returns what follows from a local and a reported suspect. More clearings go
+// first. Crashes add up, except those of requests that have completed before, see
+// blameOne.
+func (tracker *Tracker) merge(local knownSuspect, known bool, reported Suspect, now time.Time) knownSuspect {
+	age := time.Duration(min(max(0, reported.AgeMS), 4*tracker.quarantine.Milliseconds())) * time.Millisecond
+	remote := knownSuspect{Suspect: reported, changedAt: now.Add(-age)}
+	remote.Crashed, remote.AgeMS = tracker.validCrashes(reported.Crashed), 0
+	switch {
+	case !known || reported.Clearings > local.Clearings:
+		return remote
+	case reported.Clearings < local.Clearings:
+		return local
+	}
+	merged := local
+	merged.Answered = local.Answered || reported.Answered
+	if merged.Answered {
+		if len(remote.Crashed) > len(local.Crashed) || (len(remote.Crashed) == len(local.Crashed) && slices.Compare(remote.Crashed, local.Crashed) > 0) {
+			merged.Crashed = remote.Crashed
+		}
+	} else {
+		for _, target := range remote.Crashed {
+			merged.Crashed = insertSorted(merged.Crashed, target, tracker.threshold)
+		}
+	}
+	if remote.changedAt.Sub(local.changedAt) > ageTolerance {
+		merged.changedAt = remote.changedAt
+	}
+	return merged
+}
+
+// validCrashes returns the crashes of a report sorted, without duplicates, and not
+// more than the threshold.
+func (tracker *Tracker) validCrashes(crashed []uint64) []uint64 {
+	valid := slices.Compact(slices.Sorted(slices.Values(crashed)))
+	return valid[:min(len(valid), tracker.threshold)]
+}
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/coordination/tally"
@@ -33,6 +34,9 @@
 	// Leaving holds the targets that the instance knows to leave.
 	Leaving []place.LeavingTarget `cbor:"14,keyasint,omitempty"`
 
+	// Suspects holds the requests that may crash targets.
+	Suspects []crash.Suspect `cbor:"15,keyasint,omitempty"`
+
 	// A message with one of these is no heartbeat.
 	UsageQuery  *usageQuery  `cbor:"9,keyasint,omitempty"`
 	UsageAnswer *usageAnswer `cbor:"10,keyasint,omitempty"`
@@ -49,7 +53,10 @@
 		Instance: node.settings.Instance, BootID: node.bootID, DataCenter: node.settings.DataCenter,
 		LoadReport: node.scheduler.BuildReport(rounds), Usage: node.meter.Snapshot(),
 		AcceptsForwarded: !node.stopping.Load(), LostServices: node.unreachedServices(),
-		Leaving: node.scheduler.LeavingTargets(),
+		Leaving: node.scheduler.LeavingTargets(), Suspects: node.crashes.Report(),
+	}
+	if node.crashes.TakeNews() {
+		node.mesh.BroadcastNext()
 	}
 	if rounds == 1 { // the last heartbeat of this round
 		node.scheduler.EndReportRound()
@@ -105,6 +112,7 @@
 	node.detours.update(message.Instance, peerReach{accepts: message.AcceptsForwarded, services: message.LostServices})
 	node.pauseEngines(message.StageChangesMS)
 	node.markLeaving(message.Instance, message.Leaving)
+	node.crashes.Merge(message.Instance, message.Suspects)
 	node.scheduler.MergeReport(message.Instance, message.LoadReport)
 	if manifest := node.proxy.Manifest(); manifest == nil || manifest.Version < message.ManifestVersion {
 		select {
@@ -145,6 +153,7 @@
 // markLeaving keeps requests from targets that a peer knows to leave.
 func (node *Node) markLeaving(instance string, targets []place.LeavingTarget) {
 	for _, target := range targets {
+		node.crashes.MarkLeaving(target.ID, target.StartedMS)
 		if node.scheduler.MarkLeaving(target) {
 			node.logger.Info().Str("part", "node").Str("target", target.ID).Str("from", instance).Msg("target leaves; it gets no new requests")
 		}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 
+	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/duty"
 	"mangopier.example/mangopier/internal/coordination/follow"
 	"mangopier.example/mangopier/internal/coordination/health"
@@ -125,6 +126,7 @@
 	roster          *roster.Roster
 	mesh            *mesh.Mesh
 	reach           *reach.Tracker
+	crashes         *crash.Tracker
 	detours         *detours
 	detourServer    *detour.Server
 	mirror          *mirror.Mirror
@@ -165,10 +167,12 @@
 		mesh.Member{Instance: settings.Instance, DataCenter: settings.DataCenter},
 		mesh.Callbacks{Compose: node.composeHeartbeat, Receive: node.receiveHeartbeat, MemberDown: node.scheduler.RemoveReport}, logger)
 	node.reach = reach.New(reach.WithLogger(logger))
+	node.crashes = crash.New(crash.WithLogger(logger))
 	node.detours = newDetours(node.mesh)
 	node.proxy = proxy.New(codec, node.client, node.scheduler, node.health, node,
 		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
-		proxy.WithInstanceCount(node.retryInstanceCount), proxy.WithPeers(node.detours, node.reach))
+		proxy.WithInstanceCount(node.retryInstanceCount), proxy.WithPeers(node.detours, node.reach),
+		proxy.WithCrashTracker(node.crashes))
 	node.detourServer = node.newDetourServer()
 	node.roster = roster.New(codec.DecodeTarget, node.setTargets, logger)
 	node.mirror = mirror.New()
@@ -278,6 +282,7 @@
 func (node *Node) setTargets(targets []site.Target) {
 	node.targets.Store(&targets)
 	node.reach.SetTargets(targets)
+	node.crashes.SetTargets(targets)
 	node.updateTargets()
 }
 
--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/site"
@@ -26,6 +27,8 @@
 	cancel     context.CancelFunc
 	results    chan runResult // closed when the goroutine that sends on it has ended
 
+	record     *crash.Run     // nil if another instance runs the generation
+	result     crash.Result   // for the record, crash.Abandoned while the run goes on
 	refused    bool           // the engine did not run the request
 	response   *back.Response // nil until the run was accepted
 	pending    []byte         // events, or the beginning of one, that the caller does not have
@@ -65,6 +68,7 @@
 	run.ctx, run.cancel = context.WithCancel(ctx)
 	if run.peer == "" {
 		run.handle = source.handle
+		run.record, run.result = exchange.proxy.crashes.Begin(exchange.fingerprint, run.assignment.Target), crash.Abandoned
 	}
 	call := &site.Call{
 		Target: run.assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name,
@@ -173,6 +177,9 @@
 	}
 	run.cancel()
 	exchange.releaseRun(run)
+	if run.record != nil {
+		exchange.endRecord(run.record, run.result)
+	}
 }
 
 // releaseRun ends the count of a run at its engine.
@@ -189,8 +196,10 @@
 	if !exchange.mayHaveReached(target, err) {
 		exchange.recordFailedCall(target, run.stage(), "unreachable", err, run.started)
 		generation.unsent++
+		run.result = crash.Inconclusive
 		return outcomeUnsent
 	}
+	run.result = exchange.unansweredResult(err)
 	exchange.runs++
 	exchange.recordFailedCall(target, run.stage(), "no-answer", err, run.started)
 	generation.reportFailure(run)
@@ -219,7 +228,7 @@
 		return outcome
 	}
 	if result.info.NotRun {
-		run.refused = true
+		run.refused, run.result = true, crash.Inconclusive
 		exchange.releaseHandle(run.handle)
 		exchange.recordCall(target, run.stage(), "not-run", run.started)
 		exchange.proxy.pauseRefusing(target, result.info)
@@ -235,6 +244,7 @@
 		return generation.handleError(run, result)
 	case !exchange.isAuthentic(result.response, result.info):
 		_ = result.response.Body.Close()
+		run.result = crash.Inconclusive
 		exchange.recordCall(target, run.stage(), "broken", run.started)
 		exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 		return outcomeFailed
@@ -255,7 +265,9 @@
 	if result.response.Status >= http.StatusInternalServerError {
 		exchange.proxy.reportHealth(health.Observation{Target: target.ID, Outcome: health.Failure})
 	}
+	run.result = crash.Inconclusive
 	if result.err != nil {
+		run.result = exchange.unansweredResult(result.err)
 		return outcomeFailed
 	}
 	generation.fallback = &fallbackResponse{response: result.response, body: result.data}
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/site"
 	"mangopier.example/mangopier/internal/transport/back"
@@ -34,6 +35,7 @@
 	team     site.Team
 	service  site.Service
 
+	fingerprint  crash.Fingerprint
 	arrivals     atomic.Int64 // calls that may have reached a target, here or from another instance
 	spentRetries int64        // taken from the retry budget
 	runs         int          // targets that may have run the request
@@ -222,6 +224,9 @@
 	if errors.As(err, &callError) && callError.State == back.NotSent {
 		if target.Address != "" && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
 			exchange.proxy.reach.RecordUnreachable(exchange.service.Name, target.ID)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				exchange.proxy.crashes.RecordRefused(target)
+			}
 			pause := exchange.proxy.scheduler.MarkUnreachable(target.ID)
 			exchange.proxy.logger.Warn().Str("target", target.ID).Dur("pause", pause).Err(err).Msg("target does not take connections")
 		}
@@ -280,6 +285,9 @@
 	if exchange.runs > 0 {
 		return code.Errorf(code.TargetFailed, "no target gave a complete answer")
 	}
+	if err := exchange.quarantineError(); err != nil {
+		return err
+	}
 	return exchange.noTargetError(retryAfter)
 }
 
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/site"
@@ -103,6 +104,9 @@
 // counted at its engine until it is released. It returns nil if there is none.
 func (generation *generation) choose(except []string) *decodeRun {
 	exchange := generation.exchange
+	if exchange.isQuarantined() {
+		return nil
+	}
 	assignment, ok := exchange.proxy.scheduler.AssignDecode(exchange.service.Name, exchange.request.Prompt, generation.dataCenter, except)
 	peer, found := exchange.choosePeer(generation.unsent, ok, except)
 	run := &decodeRun{assignment: assignment}
@@ -227,6 +231,12 @@
 	exchange, run, stream := generation.exchange, generation.active, generation.stream
 	exchange.recordFailedCall(run.destination(), run.stage(), stream.endReason, stream.endErr, run.started)
 	switch {
+	case outcome == outcomeSucceeded:
+		run.result = crash.Completed
+	case run.ended != nil && !stream.callerGone:
+		run.result = exchange.unansweredResult(run.ended)
+	}
+	switch {
 	case stream.callerGone || run.peer != "":
 	case outcome == outcomeSucceeded:
 		exchange.proxy.reportHealth(health.Observation{Target: run.assignment.Target.ID})
--- a/internal/transport/proxy/handle.go
+++ b/internal/transport/proxy/handle.go
@@ -10,8 +10,9 @@
 	"mangopier.example/mangopier/internal/transport/back"
 )
 
-// maxCleanups bounds the calls under way that release prompts. Beyond it, a
-// prompt stays with its engine until the engine releases it by itself.
+// maxCleanups bounds the background calls under way, which release prompts and check
+// targets. Beyond it, a prompt stays with its engine until the engine releases it by
+// itself, and a target is checked after the next call that it does not answer.
 const maxCleanups = 8
 
 // cleanupTimeout bounds one call that releases a prompt.
@@ -28,15 +29,7 @@
 	if proxy.scheduler.IsLeaving(place.NewLeavingTarget(handle.Engine)) {
 		return
 	}
-	select {
-	case proxy.cleanupSlots <- struct{}{}:
-	default:
-		return
-	}
-	proxy.cleanups.Add(1)
-	go func() {
-		defer proxy.cleanups.Done()
-		defer func() { <-proxy.cleanupSlots }()
+	proxy.cleanUp(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
 		defer cancel()
 		response, err := proxy.client.Do(ctx, &back.Call{
@@ -46,5 +39,18 @@
 			proxy.observe(handle.Engine, response)
 			discard(response)
 		}
-	}()
+	})
+}
+
+// cleanUp runs a call in the background, unless maxCleanups are under way.
+func (proxy *Proxy) cleanUp(call func()) {
+	select {
+	case proxy.cleanupSlots <- struct{}{}:
+	default:
+		return
+	}
+	proxy.cleanups.Go(func() {
+		defer func() { <-proxy.cleanupSlots }()
+		call()
+	})
 }
--- a/internal/transport/proxy/harness_test.go
+++ b/internal/transport/proxy/harness_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/site"
@@ -27,6 +28,7 @@
 	t         *testing.T
 	proxy     *proxy.Proxy
 	scheduler *place.Scheduler
+	crashes   *crash.Tracker
 	front     *httptest.Server
 	log       *logBuffer
 	targets   []site.Target
@@ -74,11 +76,11 @@
 
 func newHarness(t *testing.T, opts ...proxy.Option) *harness {
 	t.Helper()
-	harness := &harness{t: t, log: &logBuffer{}, usageCounts: map[string]int{}, scheduler: place.New(place.WithDataCenter("tas-a"))}
+	harness := &harness{t: t, log: &logBuffer{}, usageCounts: map[string]int{}, scheduler: place.New(place.WithDataCenter("tas-a")), crashes: crash.New()}
 	codec := platform.Codec{}
 	client := back.New(back.WithHeaderNames(codec.AttemptHeader(), codec.NotRunHeader()))
 	opts = append([]proxy.Option{
-		proxy.WithLogger(zerolog.New(harness.log)),
+		proxy.WithLogger(zerolog.New(harness.log)), proxy.WithCrashTracker(harness.crashes),
 		proxy.WithBounds(site.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, ExtraRetries: 600, MaxRetryAfter: 10 * time.Second}),
 	}, opts...)
 	harness.proxy = proxy.New(codec, client, harness.scheduler, health.New(), harness, opts...)
@@ -139,6 +141,7 @@
 func (harness *harness) addTarget(target site.Target) {
 	harness.targets = append(harness.targets, target)
 	harness.scheduler.SetTargets(harness.targets, harness.proxy.Manifest().Services)
+	harness.crashes.SetTargets(harness.targets)
 }
 
 // respondPrefilled responds as an engine that prefilled the prompt or released
--- a/internal/transport/proxy/observe.go
+++ b/internal/transport/proxy/observe.go
@@ -11,8 +11,13 @@
 func (proxy *Proxy) observe(target site.Target, response *back.Response) site.ResponseInfo {
 	info := proxy.codec.ParseResponse(response.Status, response.Header)
 	if info.Misdirected { // another target answered
+		proxy.crashes.RecordReplaced(target)
 		return info
 	}
+	if info.Leaving {
+		leaving := place.NewLeavingTarget(target)
+		proxy.crashes.MarkLeaving(leaving.ID, leaving.StartedMS)
+	}
 	if info.Leaving && proxy.scheduler.MarkLeaving(place.NewLeavingTarget(target)) {
 		proxy.logger.Info().Str("target", target.ID).Str("from", "answer").Msg("target leaves; it gets no new requests")
 	}
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/code"
@@ -35,6 +36,7 @@
 	cancel     context.CancelFunc
 	done       chan struct{} // closed when the goroutine has ended
 	slow       bool          // counted as a failure of the target already
+	record     *crash.Run    // nil if another instance is called
 }
 
 // callResult is the end of a call.
@@ -61,6 +63,9 @@
 // released.
 func (calls *plainCalls) choose() (*plainCall, error) {
 	exchange := calls.exchange
+	if err := exchange.quarantineError(); err != nil {
+		return nil, err
+	}
 	assignment, callsPerSlot, ok := exchange.proxy.scheduler.AssignCall(exchange.service.Name, calls.tried)
 	if peer, found := exchange.choosePeer(calls.unsent, ok, calls.tried); found {
 		if ok {
@@ -117,7 +122,9 @@
 		Target: call.assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name, Priority: exchange.priority(),
 	}
 	var forwarded *site.ForwardedRequest
-	if call.peer != "" {
+	if call.peer == "" {
+		call.record = exchange.proxy.crashes.Begin(exchange.fingerprint, call.assignment.Target)
+	} else {
 		forwarded = exchange.newForwarded(exchange.request.LastEventID)
 	}
 	go func() {
@@ -196,6 +203,9 @@
 	call.end()
 	calls.release(call)
 	target := call.destination()
+	if call.record != nil {
+		exchange.endRecord(call.record, exchange.plainResult(result))
+	}
 	if result.err != nil {
 		outcome := exchange.classifyNoResponse(ctx, target, result.err, call)
 		if outcome == outcomeUnsent {
@@ -242,6 +252,9 @@
 		calls.exchange.recordCall(call.destination(), call.stage(), "dropped", call.started)
 		call.end()
 		calls.release(call)
+		if call.record != nil {
+			calls.exchange.endRecord(call.record, crash.Abandoned)
+		}
 	}
 	calls.inFlight = nil
 }
--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/code"
@@ -42,6 +43,7 @@
 	cancel  context.CancelFunc
 	done    chan struct{} // closed when the goroutine has ended
 	slow    bool          // counted as a failure of the engine already
+	record  *crash.Run
 }
 
 // prefillResult is the end of a prefill call.
@@ -74,6 +76,9 @@
 // choose chooses an engine that was not asked yet.
 func (stage *prefillStage) choose() (place.Prefill, bool) {
 	exchange := stage.exchange
+	if exchange.isQuarantined() {
+		return place.Prefill{}, false
+	}
 	return exchange.proxy.scheduler.ChoosePrefill(exchange.service.Name, exchange.request.Prompt, exchange.priority(), stage.tried)
 }
 
@@ -83,7 +88,10 @@
 	exchange.expectedWaitMS, exchange.workMS, exchange.lowerPriorityMS = prefill.WaitMS, prefill.WorkMS, prefill.LowerPriorityMS
 	exchange.cachedTokens, exchange.fetchedTokens = prefill.CachedTokens, prefill.FetchTokens
 	exchange.proxy.scheduler.BeginPrefill(prefill)
-	call := &prefillCall{prefill: prefill, started: time.Now(), done: make(chan struct{})}
+	call := &prefillCall{
+		prefill: prefill, started: time.Now(), done: make(chan struct{}),
+		record: exchange.proxy.crashes.Begin(exchange.fingerprint, prefill.Target),
+	}
 	ctx, call.cancel = context.WithCancel(ctx)
 	stage.inFlight = append(stage.inFlight, call)
 	stage.tried = append(stage.tried, prefill.Target.ID)
@@ -190,6 +198,7 @@
 	call := result.call
 	stage.inFlight = slices.DeleteFunc(stage.inFlight, func(other *prefillCall) bool { return other == call })
 	call.end()
+	stage.exchange.endRecord(call.record, stage.exchange.prefillResult(result))
 	handle, outcome := stage.classify(result)
 	if outcome == outcomeUnsent {
 		stage.unsent++
@@ -266,6 +275,7 @@
 		call.end()
 		exchange.recordCall(call.prefill.Target, "prefill", "dropped", call.started)
 		exchange.proxy.scheduler.EndPrefill(call.prefill, false)
+		exchange.endRecord(call.record, crash.Abandoned)
 	}
 	for range stage.inFlight {
 		result := <-stage.results
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/coordination/reach"
@@ -80,6 +81,12 @@
 	return func(proxy *Proxy) { proxy.instanceCount = instanceCount }
 }
 
+// WithCrashTracker sets the tracker of requests that crash targets. It has to be told
+// the list of targets. By default no target is listed, and no request is suspected.
+func WithCrashTracker(tracker *crash.Tracker) Option {
+	return func(proxy *Proxy) { proxy.crashes = tracker }
+}
+
 // Proxy is the http.Handler of callers' requests. Its methods may be called by
 // several goroutines.
 type Proxy struct {
@@ -90,6 +97,7 @@
 	meter         UsageMeter
 	peers         Peers
 	reach         *reach.Tracker
+	crashes       *crash.Tracker
 	bounds        site.Bounds
 	instanceCount func() int
 	logger        zerolog.Logger
@@ -111,7 +119,7 @@
 func New(codec Codec, client *back.Client, scheduler *place.Scheduler, tracker *health.Tracker, meter UsageMeter, opts ...Option) *Proxy {
 	proxy := &Proxy{
 		codec: codec, client: client, scheduler: scheduler, health: tracker, meter: meter,
-		peers: noPeers{}, reach: reach.New(),
+		peers: noPeers{}, reach: reach.New(), crashes: crash.New(),
 		instanceCount: func() int { return 1 },
 		logger:        zerolog.Nop(),
 		cleanupSlots:  make(chan struct{}, maxCleanups),
@@ -174,6 +182,11 @@
 	ctx, cancel := context.WithDeadline(callerCtx, exchange.deadline)
 	defer cancel()
 	defer context.AfterFunc(exchange.proxy.ended, cancel)()
+	exchange.fingerprint = crash.NewFingerprint(exchange.team.Name, exchange.request)
+	if err := exchange.quarantineError(); err != nil {
+		exchange.refuse(err)
+		return
+	}
 	if !exchange.forwarded { // the other instance has counted it
 		exchange.proxy.retryBudget(exchange.service.Name).CountRequest()
 	}
