Instances divide the limit that a target names

What the target saw: with a limit of 1.7 requests a second named, 25 in 4 s from all instances where 15 are allowed; 47 of 34 at another (LIMIT).

Cause: nothing read the header, so that no rate changed when it was named.

Why it works: for each target the limit plus three instances, chosen alike by all, get an equal part with one request at once; the others leave the target alone and use other targets. Requests, prefills, repeats and releases all take from the share, and callers are refused with the time until one is free.

Ruled out: keeping to the limit instance by instance (adds up), equal parts for all (one request each is too much for many instances).

--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -28,7 +28,9 @@
 	recentPrefills []roundNotice             // begun by this instance in the last maxRounds rounds
 	round          int                       // current round of reports
 	random         *rand.Rand
-	manyInstances  bool // more than manyInstancesThreshold, so that reported loads are stale
+	self           string   // name of this instance
+	members        []string // instances among which limits of targets are divided
+	manyInstances  bool     // more than manyInstancesThreshold, so that reported loads are stale
 }
 
 // targetState is what is known of one target.
@@ -43,13 +45,14 @@
 	weight           float64      // share of normal traffic that the target's health allows
 	reservedForSmall bool         // preferred for small prompts
 	pausedUntil      time.Time
-	quietUntil       time.Time // until when the target has asked for no new work
-	stageChangeUntil time.Time // while the engine changes its stage
-	stageChangedAt   time.Time // when the target list showed another stage
-	connectFailures  int       // in a row
-	refusals         int       // requests in a row that the target refused to run
-	firstSeen        time.Time // when the target was first listed here
-	leaving          bool      // the target has said that it takes no new requests
+	quietUntil       time.Time    // until when the target has asked for no new work
+	stageChangeUntil time.Time    // while the engine changes its stage
+	stageChangedAt   time.Time    // when the target list showed another stage
+	connectFailures  int          // in a row
+	refusals         int          // requests in a row that the target refused to run
+	firstSeen        time.Time    // when the target was first listed here
+	leaving          bool         // the target has said that it takes no new requests
+	limit            *targetLimit // nil if the target has named none
 }
 
 // Load is the work in flight at a target.
@@ -288,7 +291,7 @@
 
 // acceptsNewWork reports whether a target may be chosen.
 func (state *targetState) acceptsNewWork(now time.Time) bool {
-	return !state.Draining && !state.leaving && state.isResponsive(now)
+	return !state.Draining && !state.leaving && state.isResponsive(now) && state.hasShare(now)
 }
 
 // isResponsive reports whether the target is expected to answer calls, even if
--- a/internal/coordination/place/plain.go
+++ b/internal/coordination/place/plain.go
@@ -39,6 +39,7 @@
 	callsPerSlot := float64(best.ownLoad.InFlight+best.peerLoad.InFlight) / slotCount(best)
 	assignment := Assignment{Target: best.Target, load: Load{InFlight: 1}, state: best}
 	best.ownLoad.add(&assignment.load, 1)
+	best.takeShare(now)
 	return assignment, callsPerSlot, true
 }
 
--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -108,6 +108,7 @@
 		return
 	}
 	prefill.state = state
+	state.takeShare(prefill.begun)
 	state.ownLoad.PrefillMS[prefill.tier] += prefill.WorkMS
 	state.cache.add(prefill.parts, time.Time{})
 	if prefill.CachedTokens >= prefill.sharedTokens && prefill.sharedTokens > 0 {
@@ -225,6 +226,7 @@
 	}
 	assignment := Assignment{Target: best.Target, TransferMS: bestTransferMS, load: Load{InFlight: 1, KVTokens: neededTokens}, state: best}
 	best.ownLoad.add(&assignment.load, 1)
+	best.takeShare(now)
 	return assignment, true
 }
 
--- a/internal/coordination/place/quiet.go
+++ b/internal/coordination/place/quiet.go
@@ -17,8 +17,8 @@
 }
 
 // QuietTime returns the time until a target of a service and stage gets new work
-// again, if none gets any now and at least one has asked for that. Targets that
-// drain, leave or are ejected do not count.
+// again, if none gets any now and at least one has asked for that or names a limit.
+// Targets that drain, leave or are ejected do not count.
 func (scheduler *Scheduler) QuietTime(service string, stage site.Stage) (time.Duration, bool) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
@@ -29,11 +29,11 @@
 		if state.Stage != stage || state.Draining || state.leaving || state.weight <= 0 {
 			continue
 		}
-		end := maxTime(state.quietUntil, maxTime(state.pausedUntil, state.stageChangeUntil))
+		end := maxTime(maxTime(state.quietUntil, state.shareAt(now)), maxTime(state.pausedUntil, state.stageChangeUntil))
 		if !now.Before(end) {
 			return 0, false
 		}
-		quiet = quiet || now.Before(state.quietUntil)
+		quiet = quiet || now.Before(state.quietUntil) || !state.hasShare(now)
 		if earliest.IsZero() || end.Before(earliest) {
 			earliest = end
 		}
--- a/internal/protocol/site/site.go
+++ b/internal/protocol/site/site.go
@@ -282,6 +282,9 @@
 
 	RetryAfter        time.Duration // for which the target of a 503 wants no requests, 0 if it names none
 	InvalidRetryAfter string        // the header, if it cannot be used
+
+	Limit        *float64 // requests a second that the target takes from all instances together, nil if it names none
+	InvalidLimit string   // the header, if it cannot be used
 }
 
 // EngineStatus is the state that an engine returns when polled.
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -75,6 +75,7 @@
 
 	lastHeartbeat time.Time
 	live          bool
+	downSince     time.Time // when it was added or counted as down, if it is not live
 }
 
 // Callbacks are the functions that a mesh calls. Each is called on one
@@ -128,7 +129,7 @@
 	defer mesh.mutex.Unlock()
 	known, ok := mesh.members[added.Instance]
 	if !ok {
-		mesh.members[added.Instance] = &member{Member: added}
+		mesh.members[added.Instance] = &member{Member: added, downSince: time.Now()}
 		return
 	}
 	known.Member = added
@@ -159,6 +160,21 @@
 	return names
 }
 
+// RecentNames returns the sorted names of this instance and of those that are live, or
+// were added or went down within a time.
+func (mesh *Mesh) RecentNames(within time.Duration) []string {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	names := []string{mesh.self}
+	for name, member := range mesh.members {
+		if member.live || time.Since(member.downSince) < within {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // LiveMembers returns the live instances, without this one, in no particular
 // order.
 func (mesh *Mesh) LiveMembers() []Member {
@@ -301,7 +317,7 @@
 	if !member.live || age <= timeout {
 		return
 	}
-	member.live = false
+	member.live, member.downSince = false, now
 	mesh.logger.Warn().Str("peer", member.Instance).Dur("quiet-ms", age).Msg("instance is down: no heartbeat within the timeout")
 	mesh.memberDown(member.Instance)
 }
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -37,6 +37,9 @@
 	// Suspects holds the requests that may crash targets.
 	Suspects []crash.Suspect `cbor:"15,keyasint,omitempty"`
 
+	// Limits holds the limits that targets name.
+	Limits []place.TargetLimit `cbor:"16,keyasint,omitempty"`
+
 	// A message with one of these is no heartbeat.
 	UsageQuery  *usageQuery  `cbor:"9,keyasint,omitempty"`
 	UsageAnswer *usageAnswer `cbor:"10,keyasint,omitempty"`
@@ -54,7 +57,9 @@
 		LoadReport: node.scheduler.BuildReport(rounds), Usage: node.meter.Snapshot(),
 		AcceptsForwarded: !node.stopping.Load(), LostServices: node.unreachedServices(),
 		Leaving: node.scheduler.LeavingTargets(), Suspects: node.crashes.Report(),
+		Limits: node.scheduler.Limits(),
 	}
+	node.scheduler.SetMembers(node.settings.Instance, node.limitMembers())
 	if node.crashes.TakeNews() {
 		node.mesh.BroadcastNext()
 	}
@@ -113,6 +118,7 @@
 	node.pauseEngines(message.StageChangesMS)
 	node.markLeaving(message.Instance, message.Leaving)
 	node.crashes.Merge(message.Instance, message.Suspects)
+	node.mergeLimits(message.Instance, message.Limits)
 	node.scheduler.MergeReport(message.Instance, message.LoadReport)
 	if manifest := node.proxy.Manifest(); manifest == nil || manifest.Version < message.ManifestVersion {
 		select {
@@ -160,6 +166,31 @@
 	}
 }
 
+// mergeLimits applies the limits of targets that a peer knows.
+func (node *Node) mergeLimits(instance string, limits []place.TargetLimit) {
+	for _, limit := range node.scheduler.MergeLimits(limits) {
+		node.logger.Info().Str("part", "node").Str("target", limit.ID).Str("from", instance).Float64("per-second", limit.PerSecond).
+			Bool("lifted", limit.Lifted).Int64("age-ms", limit.AgeMS).Msg("limit of a target changed")
+	}
+}
+
+// limitSettleTime is how long after its start an instance takes no share of the limits
+// of targets, since it does not know the other instances yet.
+const limitSettleTime = 2 * time.Second
+
+// limitMembers returns the instances among which the limits of targets are divided.
+// Those that went down a moment ago count, since they may still send requests.
+func (node *Node) limitMembers() []string {
+	if time.Since(node.startTime) < limitSettleTime {
+		return nil
+	}
+	return node.mesh.RecentNames(limitMemberMemory)
+}
+
+// limitMemberMemory is how long an instance that is down keeps its share of the limits
+// of targets. A restart takes a second or two.
+const limitMemberMemory = 5 * time.Second
+
 // peerManifest is a manifest version that a peer has in force.
 type peerManifest struct {
 	address string
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -143,6 +143,7 @@
 func (exchange *exchange) send(ctx context.Context, call *site.Call) (*back.Response, site.ResponseInfo, error) {
 	proxy, request := exchange.proxy, exchange.request
 	defer proxy.reach.RecordSent(exchange.service.Name, call.Target.ID)()
+	sentAt := time.Now()
 	response, err := proxy.client.Do(ctx, &back.Call{
 		Address:         call.Target.Address,
 		Method:          request.Method,
@@ -159,7 +160,7 @@
 	exchange.countArrival(nil)
 	proxy.reach.RecordReceived(exchange.service.Name)
 	proxy.scheduler.MarkReachable(call.Target.ID)
-	return response, proxy.observe(call.Target, response), nil
+	return response, proxy.observe(call.Target, response, sentAt), nil
 }
 
 // countArrival counts a call that may have reached a target.
@@ -311,8 +312,8 @@
 }
 
 // noTargetError returns the error of a request for which there is no target. If all
-// targets have asked for a pause, its retry delay ends with the first pause;
-// otherwise it is that of capacityError.
+// targets have asked for a pause or name limits, its retry delay ends with the first
+// pause or the next free share of a limit; otherwise it is that of capacityError.
 func (exchange *exchange) noTargetError(retryAfter time.Duration) error {
 	quiet, ok := exchange.quietTime()
 	if !ok {
@@ -321,12 +322,12 @@
 	if limit := exchange.proxy.bounds.MaxRetryAfter; limit > 0 {
 		quiet = min(quiet, limit)
 	}
-	err := code.Errorf(code.NoTarget, "all targets of the service ask for a pause")
+	err := code.Errorf(code.NoTarget, "all targets of the service ask for a pause or have limits")
 	return code.WithRetryDelay(err, quiet)
 }
 
 // quietTime returns the time until a target can take the request, if all have asked
-// for a pause or are paused otherwise.
+// for a pause, name limits or are paused otherwise.
 func (exchange *exchange) quietTime() (time.Duration, bool) {
 	stage := site.NoStage
 	if exchange.service.Engine != nil && exchange.request.Prompt != nil {
--- a/internal/transport/proxy/handle.go
+++ b/internal/transport/proxy/handle.go
@@ -19,24 +19,25 @@
 const cleanupTimeout = time.Second
 
 // releaseHandle has an engine release a prefilled prompt that no engine will
-// fetch. The call runs in the background. An engine that leaves gets none; it
-// releases the prompt by itself.
+// fetch. The call runs in the background. An engine that leaves, or whose limit does
+// not allow it, gets none; it releases the prompt by itself.
 func (exchange *exchange) releaseHandle(handle *site.KVHandle) {
 	if handle == nil {
 		return
 	}
 	proxy := exchange.proxy
-	if proxy.scheduler.IsLeaving(place.NewLeavingTarget(handle.Engine)) {
+	if proxy.scheduler.IsLeaving(place.NewLeavingTarget(handle.Engine)) || !proxy.scheduler.TakeShare(handle.Engine.ID) {
 		return
 	}
 	proxy.cleanUp(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
 		defer cancel()
+		sentAt := time.Now()
 		response, err := proxy.client.Do(ctx, &back.Call{
 			Address: handle.Address, Method: http.MethodDelete, Path: proxy.codec.KVHandlePath(handle.ID), ReuseConnection: true,
 		})
 		if err == nil {
-			proxy.observe(handle.Engine, response)
+			proxy.observe(handle.Engine, response, sentAt)
 			discard(response)
 		}
 	})
--- a/internal/transport/proxy/harness_test.go
+++ b/internal/transport/proxy/harness_test.go
@@ -83,6 +83,7 @@
 		proxy.WithLogger(zerolog.New(harness.log)), proxy.WithCrashTracker(harness.crashes),
 		proxy.WithBounds(site.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, ExtraRetries: 600, MaxRetryAfter: 10 * time.Second}),
 	}, opts...)
+	harness.scheduler.SetMembers("a", []string{"a"})
 	harness.proxy = proxy.New(codec, client, harness.scheduler, health.New(), harness, opts...)
 	harness.front = httptest.NewServer(harness.proxy)
 	t.Cleanup(func() {
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -109,9 +109,9 @@
 	end          context.CancelFunc
 	retryBudgets sync.Map // service to retry budget
 	cleanups     sync.WaitGroup
-	// invalidRetryAfter holds the IDs of targets whose Retry-After was logged.
-	invalidRetryAfter sync.Map
-	cleanupSlots      chan struct{} // semaphore of the clean-ups under way
+	// invalidHeaders holds the pairs of target and header whose unusable value was logged.
+	invalidHeaders sync.Map
+	cleanupSlots   chan struct{} // semaphore of the clean-ups under way
 }
 
 // New returns a proxy without a manifest, which refuses all requests until
