--- /dev/null
+++ b/internal/transport/node/soak_target_test.go
@@ -0,0 +1,282 @@
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	soakDeadline = 1500 * time.Millisecond
+	// soakPause is the pause that targets ask for.
+	soakPause = 1200 * time.Millisecond
+	// soakRestartTime is how long a target that crashed is gone.
+	soakRestartTime = 800 * time.Millisecond
+)
+
+// targetFaults is the number of faults of targets: 1 loses the response, 2 refuses the
+// request, 3 withholds the response, 4 refuses and asks for a pause, 5 breaks off a
+// stream or delays a response.
+const targetFaults = 5
+
+// soakTargets are the targets of a plain service and the engines of a model service.
+type soakTargets struct {
+	t     *testing.T
+	fault atomic.Int32 // 0 for none
+
+	mutex    sync.Mutex
+	store    *fakeStore
+	targets  int // started so far
+	crashes  int
+	requests map[string]soakRequest // by attempt
+	excused  []soakExcuse
+	arrivals []soakArrival
+	pauses   []soakPauseAsked
+}
+
+// soakRequest is a request that a caller sends.
+type soakRequest struct {
+	service, instance string
+	at                time.Time
+}
+
+// soakExcuse is a time in which an instance was stopped, paused or restarted.
+type soakExcuse struct {
+	instance    string
+	from, until time.Time
+}
+
+// soakArrival is a request that reaches a target.
+type soakArrival struct {
+	service, target, attempt, instance string
+	at                                 time.Time
+	deadline                           time.Duration // until the caller's deadline, 0 if the target was told none
+	prefilled                          bool          // a prefill that the target accepted
+	run                                bool          // the target began to run the request
+	crashing                           bool
+}
+
+// soakPauseAsked is a pause that a target asked for.
+type soakPauseAsked struct {
+	target, instance string
+	at               time.Time
+}
+
+func newSoakTargets(t *testing.T) *soakTargets {
+	return &soakTargets{t: t, requests: map[string]soakRequest{}}
+}
+
+// soakAnswer returns the body of a target's answer to a request.
+func soakAnswer(path, id string) string {
+	if path == "/resume/" {
+		return soakEvents(1)
+	}
+	return "answer to " + id
+}
+
+const soakEventCount = 3
+
+// soakEvents returns the events of a stream from one on.
+func soakEvents(first int) string {
+	text := ""
+	for event := first; event <= soakEventCount; event++ {
+		text += fmt.Sprintf("id: %d\ndata: token\n\n", event)
+	}
+	return text
+}
+
+func soakService(path string) string {
+	if path == "/resume/" {
+		return "llm"
+	}
+	return "desk"
+}
+
+// addRequest keeps a request before it is sent to an instance.
+func (targets *soakTargets) addRequest(instance, path, attempt string) {
+	targets.mutex.Lock()
+	defer targets.mutex.Unlock()
+	targets.requests[attempt] = soakRequest{soakService(path), instance, time.Now()}
+}
+
+// excuse keeps that an instance is stopped, paused or restarted from now until the
+// returned function is called.
+func (targets *soakTargets) excuse(instance string) (end func()) {
+	from := time.Now()
+	return func() {
+		targets.mutex.Lock()
+		defer targets.mutex.Unlock()
+		targets.excused = append(targets.excused, soakExcuse{instance, from, time.Now()})
+	}
+}
+
+// isExcused reports whether an instance was stopped, paused or restarted within a time.
+func (targets *soakTargets) isExcused(instance string, from, until time.Time) bool {
+	return slices.ContainsFunc(targets.excused, func(excuse soakExcuse) bool {
+		return excuse.instance == instance && excuse.from.Before(until) && excuse.until.After(from)
+	})
+}
+
+func (targets *soakTargets) serve(store *fakeStore) {
+	targets.store = store
+	for range 3 {
+		targets.start("desk", "", "127.0.0.1:0")
+	}
+	for range 2 {
+		targets.start("llm", "prefill", "127.0.0.1:0")
+	}
+	for range 3 {
+		targets.start("llm", "decode", "127.0.0.1:0")
+	}
+}
+
+// soakTarget is one target.
+type soakTarget struct {
+	targets            *soakTargets
+	id, service, stage string
+	server             *httptest.Server
+	crashed            atomic.Bool
+}
+
+// start starts a target and registers it under a new ID.
+func (targets *soakTargets) start(service, stage, address string) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		targets.t.Error(err)
+		return
+	}
+	targets.mutex.Lock()
+	targets.targets++
+	target := &soakTarget{targets: targets, id: fmt.Sprint("i-", targets.targets), service: service, stage: stage}
+	targets.mutex.Unlock()
+	target.server = httptest.NewUnstartedServer(target)
+	_ = target.server.Listener.Close()
+	target.server.Listener = listener
+	target.server.Start()
+	targets.t.Cleanup(func() {
+		target.server.CloseClientConnections()
+		target.server.Close()
+	})
+	targets.store.put("servers", target.id, fmt.Sprintf(
+		`{"Service":%q,"Address":%q,"Zone":"tas-a","Slots":6,"State":"ready","Stage":%q,"born":%d}`, service, listener.Addr(), stage, time.Now().UnixMilli()))
+}
+
+// crash ends the target. Another one starts at its address a little later.
+func (target *soakTarget) crash() {
+	if !target.crashed.CompareAndSwap(false, true) {
+		return
+	}
+	targets := target.targets
+	targets.mutex.Lock()
+	targets.crashes++
+	targets.mutex.Unlock()
+	address := target.server.Listener.Addr().String()
+	_ = target.server.Listener.Close()
+	target.server.CloseClientConnections()
+	time.AfterFunc(soakRestartTime, func() {
+		targets.store.remove("servers", target.id)
+		targets.start(target.service, target.stage, address)
+	})
+}
+
+func (targets *soakTargets) crashCount() int {
+	targets.mutex.Lock()
+	defer targets.mutex.Unlock()
+	return targets.crashes
+}
+
+// runCount returns how often targets ran a request.
+func (targets *soakTargets) runCount(id string) int {
+	targets.mutex.Lock()
+	defer targets.mutex.Unlock()
+	count := 0
+	for _, arrival := range targets.arrivals {
+		if arrival.attempt == id && arrival.run {
+			count++
+		}
+	}
+	return count
+}
+
+// ServeHTTP runs a request. While there is a fault, it affects one request in three.
+func (target *soakTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if r.Method == http.MethodDelete || r.URL.Path == "/v1/order" || r.URL.Path == "/v1/report" {
+		return
+	}
+	arrival := soakArrival{
+		service: target.service, target: target.id, attempt: r.Header.Get("Attempt-Id"), at: time.Now(), crashing: string(body) == crashingBody,
+	}
+	if milliseconds, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
+		arrival.deadline = time.Duration(milliseconds) * time.Millisecond
+	}
+	fault := target.targets.fault.Load()
+	if rand.IntN(3) > 0 {
+		fault = 0
+	}
+	refused := fault == 2 || fault == 4
+	arrival.prefilled = target.stage == "prefill" && !refused && fault != 1
+	arrival.run = target.stage != "prefill" && !refused
+	target.record(arrival, fault == 4)
+	w.Header().Set("Attempt-Id", arrival.attempt)
+	switch {
+	case refused:
+		w.Header().Set("Not-Executed", "1")
+		if fault == 4 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(soakPause.Seconds(), 'f', -1, 64))
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case arrival.crashing && arrival.run:
+		target.crash()
+		panic(http.ErrAbortHandler)
+	case fault == 1:
+		panic(http.ErrAbortHandler)
+	case fault == 3:
+		<-r.Context().Done()
+	default:
+		target.answer(w, r, arrival, fault)
+	}
+}
+
+func (target *soakTarget) answer(w http.ResponseWriter, r *http.Request, arrival soakArrival, fault int32) {
+	w.Header().Set("Response-Signature", "s")
+	switch target.stage {
+	case "prefill":
+		_, _ = io.WriteString(w, `{"KvHandle":"h1","Tokens":1460,"Version":1}`)
+	case "decode":
+		w.Header().Set("Content-Type", "text/event-stream")
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		events := soakEvents(last + 1)
+		if fault == 5 {
+			_, _ = io.WriteString(w, events[:len(events)*2/3])
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, events)
+	default:
+		if fault == 5 {
+			time.Sleep(time.Duration(rand.IntN(int(soakDeadline))))
+		}
+		_, _ = io.WriteString(w, "answer to "+arrival.attempt)
+	}
+}
+
+func (target *soakTarget) record(arrival soakArrival, pause bool) {
+	targets := target.targets
+	targets.mutex.Lock()
+	defer targets.mutex.Unlock()
+	arrival.instance = targets.requests[arrival.attempt].instance
+	targets.arrivals = append(targets.arrivals, arrival)
+	if pause {
+		targets.pauses = append(targets.pauses, soakPauseAsked{target.id, arrival.instance, arrival.at})
+	}
+}
--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -61,7 +61,7 @@
 	program   string
 	random    *rand.Rand
 	store     *fakeStore
-	targets   soakTargets
+	targets   *soakTargets
 	control   soakControl
 	instances []*soakInstance
 
@@ -85,14 +85,14 @@
 	t.Helper()
 	soak := &soak{
 		t: t, program: program, random: rand.New(rand.NewPCG(seed, seed)), store: newFakeStore(), unsafeStatuses: map[string]int{},
-		targets: soakTargets{runs: map[string]int{}}, control: soakControl{windows: map[int64]string{}},
+		targets: newSoakTargets(t), control: soakControl{windows: map[int64]string{}},
 	}
 	return soak
 }
 
 func (soak *soak) run() {
 	soak.store.put("op", "config", soakManifest(3))
-	soak.targets.serve(soak.t, soak.store)
+	soak.targets.serve(soak.store)
 	control := httptest.NewServer(&soak.control)
 	defer control.Close()
 	ports := freePort(soak.t)
@@ -117,7 +117,9 @@
 	soak.awaitService() // all instances recover
 	close(stop)
 	callers.Wait()
+	soak.sendCrashingRequests()
 	soak.check()
+	soak.targets.checkBudget()
 }
 
 // addInstance writes the settings of an instance and opens its log.
@@ -142,13 +144,13 @@
 UsageLateS = 10
 RetryBudgetRatio = 0.2
 BudgetWindowS = 10
-BudgetSlack = 50
+BudgetSlack = %d
 [Platform]
 Address = %q
 [Cloud]
 Address = %q
 Duties = ["usage_report"]
-`, instance.name, instance.ip, firstInternalPort, firstInternalPort+9, instance.front, instance.ip, freePort(t), instance.storeEndpoint.address, control)
+`, instance.name, instance.ip, firstInternalPort, firstInternalPort+9, instance.front, instance.ip, freePort(t), soakExtraRetries, instance.storeEndpoint.address, control)
 	if err := os.WriteFile(instance.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -176,6 +178,7 @@
 // restart sends a signal, waits until the process has ended and starts it
 // again.
 func (soak *soak) restart(instance *soakInstance, signal syscall.Signal) {
+	defer soak.targets.excuse(instance.name)()
 	instance.mutex.Lock()
 	process := instance.process
 	instance.mutex.Unlock()
@@ -221,6 +224,7 @@
 			func() { soak.restart(instance, syscall.SIGKILL) },
 			func() { soak.restart(instance, syscall.SIGTERM) },
 			func() {
+				defer soak.targets.excuse(instance.name)()
 				soak.signal(instance, syscall.SIGSTOP)
 				time.Sleep(duration)
 				soak.signal(instance, syscall.SIGCONT)
@@ -265,15 +269,12 @@
 		}
 		instance := soak.instances[(caller+i)%len(soak.instances)]
 		id := fmt.Sprintf("%d-%d", caller, i)
-		path := "/read/"
-		if i%2 == 0 {
-			path = "/book/"
-		}
+		path := []string{"/book/", "/read/", "/book/", "/resume/"}[i%4]
 		status, body := soak.send(instance, path, id)
 		if status == http.StatusOK {
 			soak.served.Add(1)
-			if body != "answer to "+id {
-				soak.t.Errorf("response to request %s = %q, want %q", id, body, "answer to "+id)
+			if want := soakAnswer(path, id); body != want {
+				soak.t.Errorf("response to request %s = %q, want %q", id, body, want)
 			}
 		}
 		if path == "/book/" {
@@ -285,14 +286,24 @@
 }
 
 func (soak *soak) send(instance *soakInstance, path, id string) (int, string) {
-	request, err := http.NewRequestWithContext(soak.t.Context(), http.MethodPost, "http://"+instance.front+path, strings.NewReader(id))
+	return soak.sendBody(instance, path, id, id)
+}
+
+func (soak *soak) sendBody(instance *soakInstance, path, id, body string) (int, string) {
+	request, err := http.NewRequestWithContext(soak.t.Context(), http.MethodPost, "http://"+instance.front+path, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
 	request.Host = host
 	request.GetBody = nil
 	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Deadline-Ms", "1500")
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(soakDeadline.Milliseconds(), 10))
+	if path == "/resume/" {
+		request.Header.Set("Model", "m")
+		request.Header.Set("Token-Count", "1460,80")
+		request.Header.Set("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	}
+	soak.targets.addRequest(instance.name, path, id)
 	request.Header.Set("Authorization", "Bearer "+key)
 	client := http.Client{Timeout: 2 * time.Second}
 	response, err := client.Do(request)
@@ -301,21 +312,19 @@
 		return 0, ""
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	answer, err := io.ReadAll(response.Body)
 	if err != nil {
 		return 0, ""
 	}
-	return response.StatusCode, string(body)
+	return response.StatusCode, string(answer)
 }
 
 // check compares the statuses that callers got with the requests that targets
 // ran. A request that must not be repeated runs at most once. One that got 429
 // or 503 has not run, and no other client error is expected.
 func (soak *soak) check() {
-	soak.targets.mutex.Lock()
-	defer soak.targets.mutex.Unlock()
 	for id, status := range soak.unsafeStatuses {
-		runs := soak.targets.runs[id]
+		runs := soak.targets.runCount(id)
 		if runs > 1 {
 			soak.t.Errorf("unsafe request %s ran %d times, want at most 1", id, runs)
 		}
@@ -336,59 +345,6 @@
 	}
 }
 
-// targetFaults is the number of faults of targets: 1 loses the response, 2
-// refuses the request, 3 withholds the response.
-const targetFaults = 3
-
-// soakTargets are the targets of a plain service.
-type soakTargets struct {
-	fault atomic.Int32 // 0 for none
-	mutex sync.Mutex
-	runs  map[string]int // by ID of the request
-}
-
-func (targets *soakTargets) serve(t *testing.T, store *fakeStore) {
-	t.Helper()
-	for i := range 3 {
-		server := httptest.NewServer(targets)
-		t.Cleanup(func() {
-			server.CloseClientConnections()
-			server.Close()
-		})
-		store.put("servers", fmt.Sprintf("i-%d", i), fmt.Sprintf(
-			`{"Service":"desk","Address":%q,"Zone":"tas-a","Slots":6,"State":"ready"}`, server.Listener.Addr()))
-	}
-}
-
-// ServeHTTP runs a request. While there is a fault, it affects one request in
-// three.
-func (targets *soakTargets) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	id := r.Header.Get("Attempt-Id")
-	fault := targets.fault.Load()
-	if rand.IntN(3) > 0 {
-		fault = 0
-	}
-	w.Header().Set("Attempt-Id", id)
-	if fault == 2 {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	targets.mutex.Lock()
-	targets.runs[id]++
-	targets.mutex.Unlock()
-	switch fault {
-	case 1:
-		panic(http.ErrAbortHandler)
-	case 3:
-		<-r.Context().Done()
-		return
-	}
-	w.Header().Set("Response-Signature", "s")
-	_, _ = io.WriteString(w, "answer to "+id)
-}
-
 // soakControl receives usage reports. It checks that a window is not reported
 // with different counts and that fencing tokens do not decrease.
 type soakControl struct {
@@ -421,10 +377,14 @@
 	control.fence = max(control.fence, fence)
 }
 
-// soakManifest returns a manifest with a route whose requests may be repeated
-// and one whose requests must not be.
+// soakManifest returns a manifest with a route whose requests may be repeated, one
+// whose requests must not be, and one whose streams may be resumed.
 func soakManifest(version int) string {
-	route := `{"Name":%q,"Host":%q,"Prefix":%q,"Kind":%q,"TimeoutMs":1500,"TargetLatencyMs":100,"Service":"desk","MaxAttempts":%d}`
-	return fmt.Sprintf(`{"Version":%d,"Routes":[`+route+`,`+route+`],"Services":[{"Name":"desk"}],"Tenants":[{"Name":"press","ApiKeys":[%q]}]}`,
-		version, "read", host, "/read/", "safe", 2, "book", host, "/book/", "unsafe", 1, key)
+	route := `{"Name":%q,"Host":%q,"Prefix":%q,"Kind":%q,"TimeoutMs":1500,"TargetLatencyMs":100,"Service":%q,"MaxAttempts":%d%s}`
+	read := fmt.Sprintf(route, "read", host, "/read/", "safe", "desk", soakMaxAttempts, "")
+	book := fmt.Sprintf(route, "book", host, "/book/", "unsafe", "desk", 1, "")
+	resume := fmt.Sprintf(route, "resume", host, "/resume/", "streaming", "llm", soakMaxAttempts, `,"TargetGapMs":200,"Sticky":true,"Resumable":true`)
+	engine := `{"Slots":64,"KvCapacity":400000,"KvTokenBytes":163840,"LinkMbps":1600000,"HandleTtlS":5,"SwitchS":3}`
+	return fmt.Sprintf(`{"Version":%d,"Routes":[%s,%s,%s],"Services":[{"Name":"desk"},{"Name":"llm","Engine":%s}],"Tenants":[{"Name":"press","ApiKeys":[%q]}]}`,
+		version, read, book, resume, engine, key)
 }
--- a/internal/transport/node/store_test.go
+++ b/internal/transport/node/store_test.go
@@ -183,3 +183,10 @@
 	defer store.mutex.Unlock()
 	store.write(storedRow{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString([]byte(value))})
 }
+
+// remove deletes a row on behalf of a target.
+func (store *fakeStore) remove(table, key string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.write(storedRow{Table: table, Key: key, Deleted: true})
+}
