Responses of targets that are buffered share one bound of memory

Bytes that are no answer may come without end, in a head or a body. Each head was bounded by 10 MiB, each body by 16 MiB and each event by 1 MiB, so that some dozens at once exceed the memory of an instance. Heads are bounded by 64 KiB, answers to prefills too, and all that is buffered for all requests together by a sixth of the memory; what does not fit counts as truncated (502).

TestResponsesShareMemory failed before (200 for a response of twice the memory). The tests of single endless heads, bodies and events passed before and pin that the request ends.

--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -32,6 +32,7 @@
 	defaultIdleTimeout      = 60 * time.Second
 	maxIdleConnsPerTarget   = 256
 	maxControlResponseBytes = 4 << 20
+	maxHeaderBytes          = 64 << 10 // of a response
 )
 
 // State is how far a failed call got.
@@ -132,7 +133,7 @@
 	for _, opt := range opts {
 		opt(client)
 	}
-	client.unpooled = &http.Transport{DialContext: client.dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	client.unpooled = &http.Transport{DialContext: client.dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return client
 }
 
--- a/internal/transport/back/pool.go
+++ b/internal/transport/back/pool.go
@@ -14,10 +14,11 @@
 
 func (client *Client) newPool(now time.Duration) *pool {
 	created := &pool{transport: &http.Transport{
-		DialContext:         client.dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerTarget,
-		IdleConnTimeout:     client.idleTimeout,
-		DisableCompression:  true,
+		DialContext:            client.dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerTarget,
+		IdleConnTimeout:        client.idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 	created.lastUsed.Store(int64(now))
 	return created
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -84,8 +84,8 @@
 	// targetIdleTimeout is how long an unused connection to a target is kept.
 	// Targets close theirs after some seconds.
 	targetIdleTimeout = 4 * time.Second
-	// bodyMemoryDivisor limits the request bodies being received to the memory of
-	// the instance divided by it.
+	// bodyMemoryDivisor limits the request bodies being received, and the responses
+	// being buffered, to the memory of the instance divided by it.
 	bodyMemoryDivisor = 6
 	// memberReadInterval is the time between reads of the member rows. New
 	// instances become known sooner by their heartbeats.
@@ -172,7 +172,7 @@
 	node.proxy = proxy.New(codec, node.client, node.scheduler, node.health, node,
 		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
 		proxy.WithInstanceCount(node.retryInstanceCount), proxy.WithPeers(node.detours, node.reach),
-		proxy.WithCrashTracker(node.crashes))
+		proxy.WithCrashTracker(node.crashes), proxy.WithResponseMemory(settings.MemoryBytes/bodyMemoryDivisor))
 	node.detourServer = node.newDetourServer()
 	node.roster = roster.New(codec.DecodeTarget, node.setTargets, logger)
 	node.mirror = mirror.New()
--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -31,9 +31,11 @@
 	result     crash.Result   // for the record, crash.Abandoned while the run goes on
 	refused    bool           // the engine did not run the request
 	response   *back.Response // nil until the run was accepted
-	pending    []byte         // events, or the beginning of one, that the caller does not have
-	ended      error          // why the body ended, io.EOF if it is complete
-	receivedAt time.Time      // when bytes were received, or the call was sent
+	memory     *responseMemory
+	reserved   int       // bytes of memory that pending takes
+	pending    []byte    // events, or the beginning of one, that the caller does not have
+	ended      error     // why the body ended, io.EOF if it is complete
+	receivedAt time.Time // when bytes were received, or the call was sent
 }
 
 // runResult is the header of a run's response, or the next part of its body.
@@ -65,6 +67,7 @@
 func (exchange *exchange) startRun(ctx context.Context, run *decodeRun, source promptSource, lastEventID string) {
 	run.started = time.Now()
 	run.receivedAt, run.results = run.started, make(chan runResult, 1)
+	run.memory = &exchange.proxy.memory
 	run.ctx, run.cancel = context.WithCancel(ctx)
 	if run.peer == "" {
 		run.handle = source.handle
@@ -90,7 +93,7 @@
 			result.response, result.info, result.err = exchange.send(run.ctx, call)
 		}
 		if result.err == nil && !result.info.NotRun && result.response.Status != http.StatusOK {
-			result.data, result.err = readBody(result.response)
+			result.data, result.err = exchange.readBody(result.response, maxBodyBytes)
 		}
 		run.results <- result
 		if result.err == nil && result.info.NotRun {
@@ -144,6 +147,9 @@
 	default:
 		run.receivedAt = time.Now()
 		run.pending = append(run.pending, result.data...)
+		if len(run.pending) > maxPendingBytes || !run.reservePending() {
+			run.ended = errResponseMemory
+		}
 	}
 }
 
@@ -176,6 +182,8 @@
 		}
 	}
 	run.cancel()
+	run.pending = nil
+	run.reservePending()
 	exchange.releaseRun(run)
 	if run.record != nil {
 		exchange.endRecord(run.record, run.result)
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -35,12 +35,13 @@
 	team     site.Team
 	service  site.Service
 
-	fingerprint  crash.Fingerprint
-	arrivals     atomic.Int64 // calls that may have reached a target, here or from another instance
-	spentRetries int64        // taken from the retry budget
-	runs         int          // targets that may have run the request
-	usageCounted bool         // the request is in the usage report
-	headerSent   bool         // the response's header was sent to the caller
+	fingerprint   crash.Fingerprint
+	reservedBytes atomic.Int64 // of the response memory
+	arrivals      atomic.Int64 // calls that may have reached a target, here or from another instance
+	spentRetries  int64        // taken from the retry budget
+	runs          int          // targets that may have run the request
+	usageCounted  bool         // the request is in the usage report
+	headerSent    bool         // the response's header was sent to the caller
 
 	// Fields of the log line.
 	status          string
@@ -376,23 +377,6 @@
 	exchange.closeIfDraining()
 }
 
-// readBody reads and closes the body of a response. It returns an error if the
-// body is truncated or longer than maxBodyBytes.
-func readBody(response *back.Response) ([]byte, error) {
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-	if err != nil {
-		return nil, code.Wrap(err, code.AnswerTruncated, "answer")
-	}
-	if len(body) > maxBodyBytes {
-		return nil, code.Errorf(code.TargetFailed, "the answer is larger than %d bytes", maxBodyBytes)
-	}
-	return body, nil
-}
-
-// maxBodyBytes bounds the responses that are buffered whole.
-const maxBodyBytes = 16 << 20
-
 // discard closes a response that is not used. It reads a short body to the end,
 // so that the connection can be reused.
 func discard(response *back.Response) {
--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -43,6 +43,7 @@
 
 // finish updates the metrics and writes the log line of the request.
 func (exchange *exchange) finish() {
+	exchange.releaseMemory()
 	kind := "none"
 	if exchange.route != nil {
 		kind = exchange.route.Kind.String()
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -136,7 +136,7 @@
 			result.response, result.info, result.err = exchange.send(ctx, sent)
 		}
 		if result.err == nil {
-			result.body, result.bodyErr = readBody(result.response)
+			result.body, result.bodyErr = exchange.readBody(result.response, maxBodyBytes)
 		}
 		calls.results <- result
 	}()
--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -104,7 +104,7 @@
 		result := prefillResult{call: call}
 		result.response, result.info, result.err = exchange.send(ctx, sent)
 		if result.err == nil {
-			result.body, result.err = readBody(result.response)
+			result.body, result.err = exchange.readBody(result.response, maxHandleBytes)
 		}
 		stage.results <- result
 	}()
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -98,6 +98,7 @@
 	peers         Peers
 	reach         *reach.Tracker
 	crashes       *crash.Tracker
+	memory        responseMemory
 	bounds        site.Bounds
 	instanceCount func() int
 	logger        zerolog.Logger
@@ -120,6 +121,7 @@
 	proxy := &Proxy{
 		codec: codec, client: client, scheduler: scheduler, health: tracker, meter: meter,
 		peers: noPeers{}, reach: reach.New(), crashes: crash.New(),
+		memory:        responseMemory{limit: defaultResponseMemory},
 		instanceCount: func() int { return 1 },
 		logger:        zerolog.Nop(),
 		cleanupSlots:  make(chan struct{}, maxCleanups),
