--- a/internal/coordination/place/limit.go
+++ b/internal/coordination/place/limit.go
@@ -163,9 +163,9 @@
 	return limits[:min(len(limits), maxReportedLimits)]
 }
 
-// TakeShare counts a call other than a request at a target, and returns false if the
-// target's limit does not allow it.
-func (scheduler *Scheduler) TakeShare(id string) bool {
+// TakeCall counts a call other than a request at a target. It returns false if the
+// target has asked for a pause, or if its limit does not allow the call.
+func (scheduler *Scheduler) TakeCall(id string) bool {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	state, ok := scheduler.targets[id]
@@ -173,7 +173,7 @@
 		return true
 	}
 	now := time.Now()
-	if !state.hasShare(now) {
+	if now.Before(state.quietUntil) || !state.hasShare(now) {
 		return false
 	}
 	state.takeShare(now)
--- a/internal/transport/proxy/handle.go
+++ b/internal/transport/proxy/handle.go
@@ -19,14 +19,14 @@
 const cleanupTimeout = time.Second
 
 // releaseHandle has an engine release a prefilled prompt that no engine will
-// fetch. The call runs in the background. An engine that leaves, or whose limit does
-// not allow it, gets none; it releases the prompt by itself.
+// fetch. The call runs in the background. An engine that leaves, wants a pause or has
+// reached its limit gets none; it releases the prompt by itself.
 func (exchange *exchange) releaseHandle(handle *site.KVHandle) {
 	if handle == nil {
 		return
 	}
 	proxy := exchange.proxy
-	if proxy.scheduler.IsLeaving(place.NewLeavingTarget(handle.Engine)) || !proxy.scheduler.TakeShare(handle.Engine.ID) {
+	if proxy.scheduler.IsLeaving(place.NewLeavingTarget(handle.Engine)) || !proxy.scheduler.TakeCall(handle.Engine.ID) {
 		return
 	}
 	proxy.cleanUp(func() {
--- a/internal/transport/proxy/quiet_test.go
+++ b/internal/transport/proxy/quiet_test.go
@@ -117,3 +117,42 @@
 		t.Errorf("log lines = %d after %d requests, want 1 after 3", lines, requests.Load())
 	}
 }
+
+// Guards against calls that release prompts at an engine that wants no requests: they
+// are requests too.
+func TestQuietEngineGetsNoReleases(t *testing.T) {
+	harness := newHarness(t)
+	var releases, prefills atomic.Int64
+	harness.startTarget("p1", "llm", site.Prefill, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			releases.Add(1)
+			return
+		}
+		if prefills.Add(1) == 2 { // while the first prompt is being decoded
+			respondQuiet("60")(w, r)
+			return
+		}
+		respondPrefilled(w, r)
+	})
+	decoding, refuse := make(chan struct{}), make(chan struct{})
+	harness.startTarget("d1", "llm", site.Decode, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Kv-Source") != "" {
+			close(decoding)
+			<-refuse
+		}
+		respondNotRun(w, r)
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		harness.do(harness.newRequest(http.MethodPost, "/ask/x"))
+	}()
+	<-decoding
+	harness.do(harness.newRequest(http.MethodPost, "/ask/y"))
+	close(refuse)
+	<-ended
+	harness.proxy.Wait()
+	if releases.Load() != 0 {
+		t.Errorf("calls that release prompts at the quiet engine = %d, want 0", releases.Load())
+	}
+}
