What a target has said outlasts a missing entry

The entry of a target expires while the store is away and comes back with it. Its state was dropped with the entry: that it leaves (DRAIN), wants a pause (BUDGET) or has a limit (LIMIT) was forgotten, and it got requests again. The state of such targets is kept for two minutes, unless they restart.

TestStatementsOutlastMissingEntry failed before for all three.

--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -24,6 +24,7 @@
 	mutex          sync.Mutex
 	targets        map[string]*targetState   // by target ID
 	services       map[string][]*targetState // by service name
+	unlisted       map[string]unlistedTarget // by target ID
 	peers          map[string]*peer          // by instance
 	recentPrefills []roundNotice             // begun by this instance in the last maxRounds rounds
 	round          int                       // current round of reports
@@ -89,6 +90,7 @@
 	scheduler := &Scheduler{
 		targets:  map[string]*targetState{},
 		services: map[string][]*targetState{},
+		unlisted: map[string]unlistedTarget{},
 		peers:    map[string]*peer{},
 	}
 	for _, opt := range opts {
@@ -111,6 +113,9 @@
 	groups := map[string][]*targetState{}
 	for _, target := range targets {
 		state, ok := scheduler.targets[target.ID]
+		if !ok {
+			state, ok = scheduler.unlisted[target.ID].state, scheduler.unlisted[target.ID].state != nil
+		}
 		if !ok || !state.Started.Equal(target.Started) {
 			state = &targetState{slowdown: 1, weight: 1, firstSeen: now}
 		}
@@ -122,6 +127,7 @@
 		states[target.ID] = state
 		groups[target.Service] = append(groups[target.Service], state)
 	}
+	scheduler.keepUnlisted(states, now)
 	scheduler.targets, scheduler.services = states, groups
 	for _, group := range groups {
 		reserveForSmallPrompts(group)
@@ -129,6 +135,31 @@
 	scheduler.recomputePeerLoads(now)
 }
 
+// unlistedTarget is the state of a target whose entry is missing.
+type unlistedTarget struct {
+	state *targetState
+	since time.Time
+}
+
+// unlistedMemory is how long the state of a target whose entry is missing is kept.
+// Entries expire while the store is away, and come back with it.
+const unlistedMemory = 2 * time.Minute
+
+// keepUnlisted keeps the state of targets that are not listed any more and that have
+// said what the next list does not tell.
+func (scheduler *Scheduler) keepUnlisted(listed map[string]*targetState, now time.Time) {
+	for id, state := range scheduler.targets {
+		if listed[id] == nil && (state.leaving || state.limit != nil || now.Before(state.quietUntil)) {
+			scheduler.unlisted[id] = unlistedTarget{state, now}
+		}
+	}
+	for id, unlisted := range scheduler.unlisted {
+		if listed[id] != nil || now.Sub(unlisted.since) > unlistedMemory {
+			delete(scheduler.unlisted, id)
+		}
+	}
+}
+
 func (state *targetState) setEngine(engine *site.Engine) {
 	state.engine = engine
 	if engine == nil {
--- a/internal/coordination/place/quiet_test.go
+++ b/internal/coordination/place/quiet_test.go
@@ -71,3 +71,35 @@
 		}
 	})
 }
+
+// An entry may expire while the store is away and come back. Guards against forgetting
+// what the target has said meanwhile: that it leaves, wants a pause, or has a limit.
+func TestStatementsOutlastMissingEntry(t *testing.T) {
+	statements := map[string]func(scheduler *place.Scheduler, target site.Target){
+		"leaves": func(scheduler *place.Scheduler, target site.Target) {
+			scheduler.MarkLeaving(place.NewLeavingTarget(target))
+		},
+		"wants a pause": func(scheduler *place.Scheduler, target site.Target) { scheduler.MarkQuiet(target.ID, time.Minute) },
+		"has a limit":   func(scheduler *place.Scheduler, target site.Target) { scheduler.MarkLimited(target.ID, 2) },
+	}
+	for name, state := range statements {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				target := site.Target{ID: "s1", Service: "desk", Slots: 6, Started: time.UnixMilli(1_771_142_700_020)}
+				scheduler := newScheduler(target)
+				state(scheduler, target)
+				scheduler.SetTargets(nil, services)
+				time.Sleep(10 * time.Second)
+				scheduler.SetTargets([]site.Target{target}, services)
+				if _, _, ok := scheduler.AssignCall("desk", nil); ok {
+					t.Error("AssignCall() chooses the target after its entry came back")
+				}
+				target.Started = target.Started.Add(time.Minute)
+				scheduler.SetTargets([]site.Target{target}, services)
+				if _, _, ok := scheduler.AssignCall("desk", nil); !ok {
+					t.Error("AssignCall() does not choose the restarted target")
+				}
+			})
+		})
+	}
+}
