Failing test: an instance that reaches prefill engines but no decode engine

65 of 100 requests of all routes are answered while its peer serves all, also with one prefill engine in reach. One decode engine, one plain target or half of all in reach pass.

--- a/internal/transport/node/link_test.go
+++ b/internal/transport/node/link_test.go
@@ -135,10 +135,13 @@
 	}
 }
 
-// heal ends a fault. Connections that were silent go on.
+// heal ends a fault, if there is one. Connections that were silent go on.
 func (link *link) heal() {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
+	if link.listener != nil {
+		return
+	}
 	link.dropBacklog()
 	listener, err := net.Listen("tcp4", link.address.String())
 	if err != nil {
--- a/internal/transport/node/partition_test.go
+++ b/internal/transport/node/partition_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,7 +20,7 @@
 // link of its own, b reaches them directly.
 type partitionSite struct {
 	t       *testing.T
-	links   []*link
+	links   map[string]*link // by target
 	address string // of a
 	nodes   []*node.Node
 	log     *logBuffer
@@ -39,7 +40,7 @@
 
 func newPartitionSite(t *testing.T) *partitionSite {
 	t.Helper()
-	partition := &partitionSite{t: t, log: &logBuffer{}, runs: map[string]int{}}
+	partition := &partitionSite{t: t, log: &logBuffer{}, links: map[string]*link{}, runs: map[string]int{}}
 	store, linked := newFakeStore(), newFakeStore()
 	for _, store := range []*fakeStore{store, linked} {
 		store.put("op", "config", fmt.Sprintf(partitionManifest, host, key))
@@ -57,7 +58,7 @@
 		row := `{"Service":%q,"Address":%q,"Zone":"tas-a","Slots":6,"State":"ready","Stage":%q}`
 		address := server.Listener.Addr().String()
 		link := newLink(t, address)
-		partition.links = append(partition.links, link)
+		partition.links[id] = link
 		store.put("servers", id, fmt.Sprintf(row, service, address, stage))
 		linked.put("servers", id, fmt.Sprintf(row, service, link.address, stage))
 	}
@@ -202,3 +203,41 @@
 		})
 	}
 }
+
+// Guards against refusing callers, or letting them wait for one target after the other,
+// at an instance that reaches only some targets of a service while its peers reach all.
+func TestServesCallersWhileSomeTargetsAreInReach(t *testing.T) {
+	spared := map[string][]string{
+		"one prefill engine": {"p1", "s1", "s2", "s3"},
+		"one decode engine":  {"d1", "s1", "s2", "s3"},
+		"all prefill":        {"p1", "p2", "s1"},
+		"one plain target":   {"s1", "p1", "p2", "d1", "d2"},
+		"half of all":        {"s1", "p1", "d1"},
+	}
+	for name, inReach := range spared {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			partition := newPartitionSite(t)
+			partition.sendFor(time.Second)
+			for id, link := range partition.links {
+				if !slices.Contains(inReach, id) {
+					link.cut(linkHangs)
+				}
+			}
+			partition.sendFor(contactTime)
+			if sent, answered := partition.sendFor(4 * time.Second); 10*answered < 9*sent {
+				t.Errorf("answered while partly cut off = %d of %d, want at least nine tenths", answered, sent)
+			}
+			for _, link := range partition.links {
+				link.heal()
+			}
+			partition.sendFor(contactTime)
+			if sent, answered := partition.sendFor(time.Second); answered != sent {
+				t.Errorf("answered after the cut = %d of %d, want all", answered, sent)
+			}
+			for _, instance := range partition.nodes {
+				instance.Stop()
+			}
+		})
+	}
+}
