Requests are forwarded when most targets of their stage are out of reach

Cause: each prompt was prefilled here first, so that the forwarded run was a repeat and had to be paid from the retry budget; and unreachable targets were counted over both stages, and forgotten at once for all of them when a byte of any target came. Now they are counted by stage and until they answer, and a prompt is not prefilled if no decode engine can be called.

A few crashed targets of a stage are not worked around, as before.

--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -231,27 +232,45 @@
 }
 
 // EndBackoff lets a target get new work again at once after connections to it could
-// not be made.
+// not be made. It counts as unreachable until it answers.
 func (scheduler *Scheduler) EndBackoff(id string) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
 	if state, ok := scheduler.targets[id]; ok && state.connectFailures > 0 {
-		state.connectFailures, state.pausedUntil = 0, time.Time{}
+		state.pausedUntil = time.Time{}
 	}
 }
 
 // MostUnreachable reports whether the last connection to half of the targets of a
-// service or more could not be made.
-func (scheduler *Scheduler) MostUnreachable(service string) bool {
+// service and stage or more could not be made.
+func (scheduler *Scheduler) MostUnreachable(service string, stage site.Stage) bool {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	unreachable := 0
+	return scheduler.mostUnreachable(service, stage)
+}
+
+func (scheduler *Scheduler) mostUnreachable(service string, stage site.Stage) bool {
+	unreachable, all := 0, 0
 	for _, state := range scheduler.services[service] {
+		if state.Stage != stage {
+			continue
+		}
+		all++
 		if state.connectFailures > 0 {
 			unreachable++
 		}
 	}
-	return unreachable > 0 && 2*unreachable >= len(scheduler.services[service])
+	return unreachable > 0 && 2*unreachable >= all
+}
+
+// IsStageOutOfReach reports whether most targets of a service and stage are
+// unreachable, and none gets new work now.
+func (scheduler *Scheduler) IsStageOutOfReach(service string, stage site.Stage) bool {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	now := time.Now()
+	accepts := func(state *targetState) bool { return state.Stage == stage && state.acceptsNewWork(now) }
+	return scheduler.mostUnreachable(service, stage) && !slices.ContainsFunc(scheduler.services[service], accepts)
 }
 
 // MarkReachable records that a target answered, which resets its backoff.
--- a/internal/transport/node/partition_test.go
+++ b/internal/transport/node/partition_test.go
@@ -21,7 +21,7 @@
 type partitionSite struct {
 	t       *testing.T
 	links   map[string]*link // by target
-	address string // of a
+	address string           // of a
 	nodes   []*node.Node
 	log     *logBuffer
 	calls   atomic.Int64 // number of the last call
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -69,9 +69,9 @@
 
 // choosePeer returns an instance to forward the request to, if it should be. Unsent
 // is the number of calls that reached no target; local reports whether there is a
-// target to call.
-func (exchange *exchange) choosePeer(unsent int, local bool, tried []string) (string, bool) {
-	if !exchange.shouldForward(unsent, local) {
+// target of the stage to call.
+func (exchange *exchange) choosePeer(stage site.Stage, unsent int, local bool, tried []string) (string, bool) {
+	if !exchange.shouldForward(stage, unsent, local) {
 		return "", false
 	}
 	peer, ok := exchange.proxy.peers.Choose(exchange.service.Name, tried)
@@ -79,14 +79,14 @@
 }
 
 // shouldForward reports whether the request should be forwarded: the service is out
-// of reach, or a call reached no target, or there is none to call, and most targets
-// do not take connections. Targets that are busy are so for all instances, and a few
-// that do not take connections have crashed.
-func (exchange *exchange) shouldForward(unsent int, local bool) bool {
+// of reach, or a call reached no target, or there is none to call, and most targets of
+// the stage do not take connections. Targets that are busy are so for all instances,
+// and a few that do not take connections have crashed.
+func (exchange *exchange) shouldForward(stage site.Stage, unsent int, local bool) bool {
 	if exchange.forwarded {
 		return false
 	}
-	return exchange.outOfReach() || ((unsent > 0 || !local) && exchange.proxy.scheduler.MostUnreachable(exchange.service.Name))
+	return exchange.outOfReach() || ((unsent > 0 || !local) && exchange.proxy.scheduler.MostUnreachable(exchange.service.Name, stage))
 }
 
 // payArrival takes a retry from the budget if the next call that reaches a target is
@@ -101,6 +101,15 @@
 	return exchange.proxy.reach.Lost(exchange.service.Name)
 }
 
+// canDecode reports whether a prompt is worth prefilling here. If no decode engine is
+// in reach, the instance to which the request is forwarded has it prefilled.
+func (exchange *exchange) canDecode() bool {
+	if exchange.outOfReach() {
+		return false
+	}
+	return exchange.forwarded || !exchange.proxy.scheduler.IsStageOutOfReach(exchange.service.Name, site.Decode)
+}
+
 // lostSignal returns a channel that is closed when the service gets out of reach. It
 // is nil for a request that another instance forwarded, which has no other way.
 func (exchange *exchange) lostSignal() <-chan struct{} {
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -22,7 +22,7 @@
 		stream:   &stream{exchange: exchange, lastEventID: exchange.request.LastEventID},
 	}
 	// An instance to which the request is forwarded has the prompt prefilled too.
-	if !exchange.outOfReach() && !exchange.isQuiet() {
+	if exchange.canDecode() && !exchange.isQuiet() {
 		handle, prefiller, unsent, err := exchange.prefill(ctx)
 		if err != nil {
 			exchange.refuse(err)
@@ -108,7 +108,7 @@
 		return nil
 	}
 	assignment, ok := exchange.proxy.scheduler.AssignDecode(exchange.service.Name, exchange.request.Prompt, generation.dataCenter, except)
-	peer, found := exchange.choosePeer(generation.unsent, ok, except)
+	peer, found := exchange.choosePeer(site.Decode, generation.unsent, ok, except)
 	run := &decodeRun{assignment: assignment}
 	switch {
 	case found:
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	assignment, callsPerSlot, ok := exchange.proxy.scheduler.AssignCall(exchange.service.Name, calls.tried)
-	if peer, found := exchange.choosePeer(calls.unsent, ok, calls.tried); found {
+	if peer, found := exchange.choosePeer(site.NoStage, calls.unsent, ok, calls.tried); found {
 		if ok {
 			exchange.proxy.scheduler.Release(&assignment)
 		}
--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -153,7 +153,7 @@
 // canForward reports whether the request should be forwarded and can be.
 func (stage *prefillStage) canForward() bool {
 	exchange := stage.exchange
-	if !exchange.shouldForward(stage.unsent, true) {
+	if !exchange.shouldForward(site.Prefill, stage.unsent, true) {
 		return false
 	}
 	_, ok := exchange.proxy.peers.Choose(exchange.service.Name, nil)
