--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -31,6 +31,9 @@
 	soakSeeds  = flag.Int("soak.seeds", 1, "number of soak runs")
 	soakFirst  = flag.Uint64("soak.first", 1, "seed of the first run")
 	soakLength = flag.Duration("soak.length", 6*time.Second, "time for which faults are injected")
+	// soakEarlier makes the instances begin with an earlier build and change between
+	// the two under the other faults. In the end all run the current build.
+	soakEarlier = flag.String("soak.earlier", "", "commit of the build that the instances begin with, none by default")
 )
 
 // regressions are seeds that have failed, each with its cause.
@@ -39,18 +42,47 @@
 }
 
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "mangopierd")
-	build := exec.CommandContext(t.Context(), "go", "build", "-o", program, "mangopier.example/mangopier/cmd/mangopierd")
-	if output, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, output)
+	programs := []string{buildProgram(t, ".")}
+	if *soakEarlier != "" {
+		programs = append(programs, buildProgram(t, checkOut(t, *soakEarlier)))
 	}
 	seeds := slices.Clone(regressions)
 	for i := range *soakSeeds {
 		seeds = append(seeds, *soakFirst+uint64(i))
 	}
 	for _, seed := range seeds {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { newSoak(t, program, seed).run() })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { newSoak(t, programs, seed).run() })
+	}
+}
+
+// buildProgram builds the program of the module that a folder is in.
+func buildProgram(t *testing.T, folder string) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "mangopierd")
+	build := exec.CommandContext(t.Context(), "go", "build", "-buildvcs=false", "-o", program, "mangopier.example/mangopier/cmd/mangopierd")
+	build.Dir = folder
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	return program
+}
+
+// checkOut writes the files of a commit to a temporary folder.
+func checkOut(t *testing.T, commit string) string {
+	t.Helper()
+	folder := t.TempDir()
+	archive := filepath.Join(folder, "source.tar")
+	for _, arguments := range [][]string{
+		{"git", "archive", "--output", archive, commit + ":./"},
+		{"tar", "-xf", archive, "-C", folder},
+	} {
+		command := exec.CommandContext(t.Context(), arguments[0], arguments[1:]...)
+		command.Dir = filepath.Join("..", "..", "..")
+		if output, err := command.CombinedOutput(); err != nil {
+			t.Fatalf("%v: %s", err, output)
+		}
 	}
+	return folder
 }
 
 const soakInstances = 3
@@ -58,7 +90,7 @@
 // soak is one run of the test.
 type soak struct {
 	t         *testing.T
-	program   string
+	programs  []string // the current build, and an earlier one if there is one
 	random    *rand.Rand
 	store     *fakeStore
 	targets   *soakTargets
@@ -77,14 +109,15 @@
 	storeEndpoint *endpoint
 	faulty        atomic.Bool // a fault is being injected
 	mutex         sync.Mutex
+	program       string
 	process       *exec.Cmd
 	log           *os.File
 }
 
-func newSoak(t *testing.T, program string, seed uint64) *soak {
+func newSoak(t *testing.T, programs []string, seed uint64) *soak {
 	t.Helper()
 	soak := &soak{
-		t: t, program: program, random: rand.New(rand.NewPCG(seed, seed)), store: newFakeStore(), unsafeStatuses: map[string]int{},
+		t: t, programs: programs, random: rand.New(rand.NewPCG(seed, seed)), store: newFakeStore(), unsafeStatuses: map[string]int{},
 		targets: newSoakTargets(t), control: soakControl{windows: map[int64]string{}},
 	}
 	return soak
@@ -114,6 +147,11 @@
 		}()
 	}
 	soak.injectFaults(*soakLength)
+	for _, instance := range soak.instances {
+		if instance.program != soak.programs[0] {
+			soak.changeBuild(instance)
+		}
+	}
 	soak.awaitService() // all instances recover
 	close(stop)
 	callers.Wait()
@@ -125,7 +163,7 @@
 // addInstance writes the settings of an instance and opens its log.
 func (soak *soak) addInstance(i, firstInternalPort int, control string) {
 	t := soak.t
-	instance := &soakInstance{name: fmt.Sprintf("front-%d", i), ip: fmt.Sprintf("127.0.3.%d", i+1), storeEndpoint: soak.store.endpoint(t)}
+	instance := &soakInstance{program: soak.programs[len(soak.programs)-1], name: fmt.Sprintf("front-%d", i), ip: fmt.Sprintf("127.0.3.%d", i+1), storeEndpoint: soak.store.endpoint(t)}
 	instance.front = fmt.Sprintf("%s:%d", instance.ip, freePort(t))
 	instance.settings = filepath.Join(t.TempDir(), "local.toml")
 	text := fmt.Sprintf(`Node = %q
@@ -166,7 +204,7 @@
 func (soak *soak) start(instance *soakInstance) {
 	instance.mutex.Lock()
 	defer instance.mutex.Unlock()
-	process := exec.CommandContext(soak.t.Context(), soak.program, "--settings", instance.settings)
+	process := exec.CommandContext(soak.t.Context(), instance.program, "--settings", instance.settings)
 	process.Stdout, process.Stderr = instance.log, instance.log
 	if err := process.Start(); err != nil {
 		soak.t.Error(err)
@@ -187,6 +225,18 @@
 	soak.start(instance)
 }
 
+// changeBuild replaces the process of an instance by one of the other build.
+func (soak *soak) changeBuild(instance *soakInstance) {
+	instance.mutex.Lock()
+	if instance.program == soak.programs[0] {
+		instance.program = soak.programs[1]
+	} else {
+		instance.program = soak.programs[0]
+	}
+	instance.mutex.Unlock()
+	soak.restart(instance, syscall.SIGTERM)
+}
+
 func (soak *soak) signal(instance *soakInstance, signal syscall.Signal) {
 	instance.mutex.Lock()
 	defer instance.mutex.Unlock()
@@ -241,6 +291,9 @@
 			},
 			func() { soak.signal(instance, syscall.SIGHUP) },
 		}
+		if len(soak.programs) > 1 {
+			faults = append(faults, func() { soak.changeBuild(instance) }, func() { soak.changeBuild(instance) })
+		}
 		inject := faults[soak.random.IntN(len(faults))]
 		if instance.faulty.CompareAndSwap(false, true) {
 			pending.Add(1)
