Lease rows with fields that this build does not know can be read

An older build rejected a lease row with an added field, so that the duty had no holder after a rollback from a build that adds one.

TestTakesOverFromBuildThatWritesMoreFields failed before (no grant).

--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -365,3 +365,27 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// A newer build may add fields to the rows of a lease. Guards against an older one that
+// cannot read them any more: the duty would stay without a holder once the newer
+// instances are gone.
+func TestTakesOverFromBuildThatWritesMoreFields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		writer := store.Client("newer build")
+		for key, value := range map[string]string{
+			epochKey:     `{"epoch":7,"holder":"newer build","nonce":"n","since":{"ms":1}}`,
+			heartbeatKey: `{"epoch":7,"holder":"newer build","nonce":"n","sequence":3,"build":"v9"}`,
+		} {
+			if err := writer.Commit(t.Context(), table.Write{Key: key, Value: []byte(value)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		process := start(store.Client("older build"), "older build", 1)
+		defer process.shutDown()
+		time.Sleep(5 * leaseDuration)
+		if grant, ok := process.lease.Held(); !ok || grant.Epoch <= 7 {
+			t.Errorf("Held() = %+v, %t, want a grant with an epoch above 7", grant, ok)
+		}
+	})
+}
--- a/internal/coordination/lease/record.go
+++ b/internal/coordination/lease/record.go
@@ -41,8 +41,9 @@
 	return record, err
 }
 
+// decode ignores fields that a newer build has added.
 func decode(row table.Row, dst any) error {
-	err := json.Unmarshal(row.Value, dst, json.RejectUnknownMembers(true))
+	err := json.Unmarshal(row.Value, dst)
 	return code.Wrap(err, code.RowMalformed, "row "+row.Key)
 }
 
