Instances tell each other which build they run and what it can do

While instances are replaced, an operator could not see from logs or metrics which of them keep to limits and to the quarantine of requests that crash targets. Heartbeats carry the build and its abilities (new fields 17 and 18, ignored by earlier builds); a log line tells of each change, the start line has its own, and mangopier_instances_able counts the other instances by ability.

--- a/cmd/mangopierd/main.go
+++ b/cmd/mangopierd/main.go
@@ -24,6 +24,24 @@
 // version is set by the linker in release builds.
 var version = "development"
 
+// buildName returns the version, and the commit that the program was built from if it
+// is known.
+func buildName() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return version
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return version + "-" + setting.Value[:min(len(setting.Value), revisionLength)]
+		}
+	}
+	return version
+}
+
+// revisionLength is how much of a commit's hash names it.
+const revisionLength = 12
+
 // Exit statuses of the program.
 const (
 	exitFailure = 1
@@ -104,8 +122,8 @@
 	logger, closeLog := newLogger(options.LogLevel, settings.Instance)
 	defer closeLog()
 	instance := node.New(settings, platform.NewStore(settings.StoreAddress),
-		platform.NewControl(settings.ControlAddress), platform.Codec{}, logger)
-	logger.Info().Str("part", "mangopierd").Str("version", version).Str("data-center", settings.DataCenter).
+		platform.NewControl(settings.ControlAddress), platform.Codec{}, logger, node.WithBuild(buildName()))
+	logger.Info().Str("part", "mangopierd").Str("version", buildName()).Strs("abilities", node.Abilities()).Str("data-center", settings.DataCenter).
 		Bool("first-start", settings.Bootstrap).Str("address", settings.ListenAddress).Int("metrics-port", settings.MetricsPort).Msg("starting the instance")
 	if err := instance.Start(context.Background()); err != nil {
 		logger.Error().Str("part", "mangopierd").Err(err).Int("code", int(code.FromError(err))).Msg("cannot start the instance")
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -40,6 +40,10 @@
 	// Limits holds the limits that targets name.
 	Limits []place.TargetLimit `cbor:"16,keyasint,omitempty"`
 
+	// Build and Abilities tell which build the instance runs.
+	Build     string   `cbor:"17,keyasint,omitempty"`
+	Abilities []string `cbor:"18,keyasint,omitempty"`
+
 	// A message with one of these is no heartbeat.
 	UsageQuery  *usageQuery  `cbor:"9,keyasint,omitempty"`
 	UsageAnswer *usageAnswer `cbor:"10,keyasint,omitempty"`
@@ -57,7 +61,7 @@
 		LoadReport: node.scheduler.BuildReport(rounds), Usage: node.meter.Snapshot(),
 		AcceptsForwarded: !node.stopping.Load(), LostServices: node.unreachedServices(),
 		Leaving: node.scheduler.LeavingTargets(), Suspects: node.crashes.Report(),
-		Limits: node.scheduler.Limits(),
+		Limits: node.scheduler.Limits(), Build: node.build, Abilities: Abilities(),
 	}
 	node.scheduler.SetMembers(node.settings.Instance, node.limitMembers())
 	if node.crashes.TakeNews() {
@@ -115,6 +119,7 @@
 	node.mesh.Add(mesh.Member{Instance: message.Instance, DataCenter: message.DataCenter, Address: from})
 	node.mesh.RecordHeartbeat(message.Instance)
 	node.detours.update(message.Instance, peerReach{accepts: message.AcceptsForwarded, services: message.LostServices})
+	node.builds.update(message.Instance, message.Build, message.Abilities)
 	node.pauseEngines(message.StageChangesMS)
 	node.markLeaving(message.Instance, message.Leaving)
 	node.crashes.Merge(message.Instance, message.Suspects)
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -116,6 +116,8 @@
 	logger    zerolog.Logger
 	registry  *prometheus.Registry
 	bootID    uint64 // distinguishes runs of the instance
+	build     string // name of this build
+	builds    *memberBuilds
 	startTime time.Time
 
 	client          *back.Client
@@ -147,7 +149,7 @@
 }
 
 // New returns an instance that does nothing before Start.
-func New(settings site.Settings, store Store, control Control, codec Codec, logger zerolog.Logger) *Node {
+func New(settings site.Settings, store Store, control Control, codec Codec, logger zerolog.Logger, opts ...Option) *Node {
 	node := &Node{
 		settings: settings, store: store, control: control, codec: codec,
 		logger:         logger,
@@ -159,13 +161,17 @@
 		health:         health.New(health.WithEjection(ejectionTime, rampTime)),
 		meter:          tally.New(settings.Bounds.UsageWindow),
 	}
+	for _, opt := range opts {
+		opt(node)
+	}
+	node.builds = newMemberBuilds(node.registry, logger)
 	node.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	node.client = back.New(
 		back.WithHeaderNames(codec.AttemptHeader(), codec.NotRunHeader()),
 		back.WithIdleTimeout(targetIdleTimeout))
 	node.mesh = mesh.New(
 		mesh.Member{Instance: settings.Instance, DataCenter: settings.DataCenter},
-		mesh.Callbacks{Compose: node.composeHeartbeat, Receive: node.receiveHeartbeat, MemberDown: node.scheduler.RemoveReport}, logger)
+		mesh.Callbacks{Compose: node.composeHeartbeat, Receive: node.receiveHeartbeat, MemberDown: node.forgetMember}, logger)
 	node.reach = reach.New(reach.WithLogger(logger))
 	node.crashes = crash.New(crash.WithLogger(logger))
 	node.detours = newDetours(node.mesh)
@@ -188,6 +194,12 @@
 	return node
 }
 
+// forgetMember drops what an instance told that is down now.
+func (node *Node) forgetMember(instance string) {
+	node.scheduler.RemoveReport(instance)
+	node.builds.remove(instance)
+}
+
 // Start listens, starts the background loops and returns. They run until Stop,
 // also if ctx ends before. Errors have code.SettingsInvalid.
 func (node *Node) Start(ctx context.Context) error {
--- a/internal/transport/node/node_test.go
+++ b/internal/transport/node/node_test.go
@@ -91,7 +91,7 @@
 		},
 		Duties: site.Duties{Usage: true},
 	}
-	instance := node.New(settings, platform.NewStore(store), platform.NewControl(control), platform.Codec{}, zerolog.New(log))
+	instance := node.New(settings, platform.NewStore(store), platform.NewControl(control), platform.Codec{}, zerolog.New(log), node.WithBuild("test-build"))
 	if err := instance.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -192,6 +192,9 @@
 	if interrupted := first.Stop() + second.Stop(); interrupted != 0 {
 		t.Errorf("first.Stop() + second.Stop() = %d interrupted requests, want 0", interrupted)
 	}
+	if !log.contains(`"build":"test-build","abilities":["limits","suspects"]`) {
+		t.Error("log has no message about the build of the other instance")
+	}
 	if !log.contains("target row cannot be decoded; target not used") {
 		t.Error("log has no message about the malformed target row")
 	}
