--- a/internal/transport/node/soak_budget_test.go
+++ b/internal/transport/node/soak_budget_test.go
@@ -30,6 +30,16 @@
 	crashThreshold     = 3
 )
 
+// askForPauses has targets ask for pauses while callers go on and no instance is
+// disturbed.
+func (soak *soak) askForPauses() {
+	time.Sleep(soakRestartTime)
+	soak.targets.fault.Store(4)
+	time.Sleep(soakPause / 4)
+	soak.targets.fault.Store(0)
+	time.Sleep(soakPause)
+}
+
 // sendToSilentTargets sends streams while targets withhold responses, so that many are
 // repeated late.
 func (soak *soak) sendToSilentTargets() {
--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -156,6 +156,7 @@
 		}
 	}
 	soak.awaitService() // all instances recover
+	soak.askForPauses()
 	close(stop)
 	callers.Wait()
 	soak.sendToSilentTargets()
