--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -388,6 +388,8 @@
 // ran. A request that must not be repeated runs at most once. One that got 429
 // or 503 has not run, and no other client error is expected.
 func (soak *soak) check() {
+	soak.control.mutex.Lock() // reports go on
+	defer soak.control.mutex.Unlock()
 	for id, status := range soak.unsafeStatuses {
 		runs := soak.targets.runCount(id)
 		if runs > 1 {
