--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -308,3 +308,58 @@
 		t.Error("fingerprint of another team's request is the same")
 	}
 }
+
+// sendWaves has a request crash its targets as three instances see it: in each wave the
+// caller reaches all of them within 0.2 s, before they can tell each other, and each
+// runs the request at another one of the three targets. These are back 3 s later under
+// new IDs. It returns the number of targets that crashed.
+func sendWaves(t *testing.T, waves int, answered bool) (crashed int) {
+	synctest.Test(t, func(t *testing.T) {
+		instances := []*crash.Tracker{crash.New(), crash.New(), crash.New()}
+		for wave := range waves {
+			for _, tracker := range instances {
+				tracker.SetTargets([]site.Target{target(3 * wave), target(3*wave + 1), target(3*wave + 2)})
+				if answered && wave == 0 {
+					tracker.Begin(fingerprint, target(0)).End(crash.Completed)
+				}
+			}
+			var runs []*crash.Run
+			for i, tracker := range instances {
+				if !isQuarantined(tracker, fingerprint) {
+					runs = append(runs, tracker.Begin(fingerprint, target(3*wave+i)))
+				}
+			}
+			for i, run := range runs {
+				time.Sleep(70 * time.Millisecond)
+				if run.End(crash.Lost) {
+					instances[i].RecordRefused(run.Target())
+				}
+			}
+			crashed += len(runs)
+			time.Sleep(100 * time.Millisecond)
+			for _, from := range instances {
+				for _, to := range instances {
+					to.Merge("peer", from.Report())
+				}
+			}
+			time.Sleep(4 * time.Second)
+		}
+	})
+	return crashed
+}
+
+// Guards against losing all targets of a service again and again to a request that hits
+// them at the same time.
+func TestWavesThatHitAllTargets(t *testing.T) {
+	if crashed := sendWaves(t, 4, false); crashed != 3 {
+		t.Errorf("targets that crashed in four waves = %d, want 3", crashed)
+	}
+}
+
+// Guards against counting each wave as one crash if the request has been answered
+// before.
+func TestWavesOfAnsweredRequest(t *testing.T) {
+	if crashed := sendWaves(t, 4, true); crashed > 6 {
+		t.Errorf("targets that crashed in four waves = %d, want at most 6", crashed)
+	}
+}
--- a/internal/transport/proxy/crash_test.go
+++ b/internal/transport/proxy/crash_test.go
@@ -13,21 +13,24 @@
 	"mangopier.example/mangopier/internal/protocol/site"
 )
 
-// crashingTarget is a target that crashes when it begins to run a request with a
-// certain body: all its connections end and it takes no new ones.
+// crashingTarget is a target that crashes when it begins to run a certain request: all
+// its connections end and it takes no new ones.
 type crashingTarget struct {
 	server           *httptest.Server
 	next             http.HandlerFunc
 	crashes          *atomic.Int64
+	crashesOn        func(r *http.Request, body string) bool // by default requests with crashingBody
 	crashesOnPrefill bool
 	hasEnded         atomic.Bool
 }
 
 const crashingBody = "crashes targets"
 
+func hasCrashingBody(_ *http.Request, body string) bool { return body == crashingBody }
+
 func (target *crashingTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
-	if string(body) != crashingBody || (r.Header.Get("Serving-Stage") != "" && !target.crashesOnPrefill) {
+	if !target.crashesOn(r, string(body)) || (r.Header.Get("Serving-Stage") != "" && !target.crashesOnPrefill) {
 		target.next(w, r)
 		return
 	}
@@ -43,7 +46,7 @@
 // all other requests with next.
 func (harness *harness) startCrashingTarget(id, service string, stage site.Stage, crashes *atomic.Int64, next http.HandlerFunc) *crashingTarget {
 	harness.t.Helper()
-	target := &crashingTarget{next: next, crashes: crashes}
+	target := &crashingTarget{next: next, crashes: crashes, crashesOn: hasCrashingBody}
 	target.server = httptest.NewUnstartedServer(target)
 	target.server.Start()
 	harness.t.Cleanup(func() {
@@ -113,3 +116,22 @@
 		t.Errorf("prefill engines that crashed under the prompt = %d, want 3", crashes.Load())
 	}
 }
+
+// Guards against clearing a request that crashes its targets each time that the same
+// path with another query is answered.
+func TestAnswersToOtherQueriesDoNotClear(t *testing.T) {
+	harness := newHarness(t)
+	var crashes atomic.Int64
+	for i := range 8 {
+		target := harness.startCrashingTarget(fmt.Sprint("s", i), "desk", site.NoStage, &crashes, respondOK)
+		target.crashesOn = func(r *http.Request, _ string) bool { return r.URL.RawQuery == "page=1" }
+	}
+	for range 6 {
+		harness.do(harness.newRequest(http.MethodPost, "/book/x?page=1"))
+		harness.proxy.Wait()
+		harness.do(harness.newRequest(http.MethodPost, "/book/x?page=2"))
+	}
+	if crashes.Load() != 3 {
+		t.Errorf("targets that crashed under the request = %d, want 3", crashes.Load())
+	}
+}
