Waves of crashes count for requests that were answered before

Callers lost all targets of a service, three times in a row, under one request (BUDGET). A request that was answered before counted one crash a wave, since a read that runs everywhere is hit by the crash of a rack; the other targets of the wave were forgotten, and nine had to end. They are kept now as crashes of the same time, and two waves with three targets between them suffice: a sound read is answered between two.

TestWavesOfAnsweredRequest failed before (9 targets, want at most 6).

--- a/internal/coordination/crash/crash.go
+++ b/internal/coordination/crash/crash.go
@@ -37,6 +37,9 @@
 	// that its target had crashed. Entries of crashed targets expire after three
 	// missed heartbeats.
 	rowEvidenceWindow = 6 * time.Second
+	// minWaves is under how many crashes, each known when the next run began, a request
+	// that was answered before is quarantined if the threshold counts all crashes.
+	minWaves = 2
 	// refusalWindow is how long before a refused connection a run must have ended
 	// for both to have the same cause.
 	refusalWindow = 2 * time.Second
@@ -166,13 +169,20 @@
 // time.
 func (tracker *Tracker) Quarantined(fingerprint Fingerprint) (time.Duration, bool) {
 	suspect, ok := (*tracker.suspects.Load())[fingerprint]
-	if !ok || len(suspect.Crashed) < tracker.threshold {
+	if !ok || !tracker.isConvicted(suspect.Suspect) {
 		return 0, false
 	}
 	remaining := tracker.quarantine - time.Since(suspect.changedAt)
 	return remaining, remaining > 0
 }
 
+// isConvicted reports whether enough targets ended under a request. Crashes at the same
+// time are one wave.
+func (tracker *Tracker) isConvicted(suspect Suspect) bool {
+	waves := len(suspect.Crashed)
+	return waves >= tracker.threshold || (waves >= minWaves && waves+len(suspect.Concurrent) >= tracker.threshold)
+}
+
 // Run is one run of a request at a target.
 type Run struct {
 	tracker     *Tracker
@@ -351,30 +361,28 @@
 
 // blameOne counts a crash against the request of a run. Equal requests that targets
 // have answered before run at many targets at once and are hit by crashes of several
-// targets: of those, only a crash counts whose run began when all others were known.
+// targets: of those, a crash whose run began before all others were known belongs to
+// the same wave as these.
 func (tracker *Tracker) blameOne(suspects map[Fingerprint]knownSuspect, run endedRun, now time.Time) {
-	suspect := suspects[run.fingerprint]
+	before := suspects[run.fingerprint]
+	suspect := before
 	suspect.Fingerprint = run.fingerprint
 	suspect.Answered = suspect.Answered || tracker.completed.has(run.fingerprint)
-	if suspect.Answered && run.known != len(suspect.Crashed) {
-		return
-	}
-	before := len(suspect.Crashed)
-	suspect.Crashed = insertSorted(suspect.Crashed, run.target.hash(), tracker.threshold)
-	if len(suspect.Crashed) == before && before < tracker.threshold {
+	changed := suspect.addCrash(run.target.hash(), suspect.Answered && run.known != len(suspect.Crashed), tracker.threshold)
+	if !changed && !tracker.isConvicted(before.Suspect) {
 		return // another run of the request ended in the same crash
 	}
 	suspect.changedAt = now
 	suspects[run.fingerprint] = suspect
-	if len(suspect.Crashed) > 1 {
+	if suspect.crashCount() > 1 {
 		tracker.news.Store(urgentReports)
 	}
-	tracker.logQuarantine(suspect, before, "own run")
+	tracker.logQuarantine(before, suspect, "own run")
 }
 
-func (tracker *Tracker) logQuarantine(suspect knownSuspect, before int, source string) {
-	if before < tracker.threshold && len(suspect.Crashed) >= tracker.threshold {
-		tracker.logger.Error().Uint64("fingerprint", uint64(suspect.Fingerprint)).Int("targets", len(suspect.Crashed)).Str("from", source).
+func (tracker *Tracker) logQuarantine(before, suspect knownSuspect, source string) {
+	if !tracker.isConvicted(before.Suspect) && tracker.isConvicted(suspect.Suspect) {
+		tracker.logger.Error().Uint64("fingerprint", uint64(suspect.Fingerprint)).Int("targets", suspect.crashCount()).Str("from", source).
 			Dur("quarantine-ms", tracker.quarantine).Msg("request quarantined: targets ended under it")
 	}
 }
@@ -389,7 +397,7 @@
 			return
 		}
 		suspect.Clearings++
-		suspect.Crashed, suspect.Answered, suspect.changedAt = nil, true, time.Now()
+		suspect.Crashed, suspect.Concurrent, suspect.Answered, suspect.changedAt = nil, nil, true, time.Now()
 		suspects[fingerprint] = suspect
 	})
 }
--- a/internal/coordination/crash/share.go
+++ b/internal/coordination/crash/share.go
@@ -15,6 +15,27 @@
 	Crashed     []uint64    `cbor:"3,keyasint,omitempty"` // hashes of distinct targets since the last clearing, sorted
 	Answered    bool        `cbor:"4,keyasint,omitempty"` // equal requests have completed before
 	AgeMS       int64       `cbor:"5,keyasint,omitempty"` // since the last crash or clearing, in milliseconds
+	Concurrent  []uint64    `cbor:"6,keyasint,omitempty"` // more such hashes, sorted, if Answered: of targets that crashed together with one in Crashed
+}
+
+// crashCount returns the number of targets that ended under the request.
+func (suspect *Suspect) crashCount() int { return len(suspect.Crashed) + len(suspect.Concurrent) }
+
+// addCrash adds a crash, in the same wave as another one if concurrent is set, and
+// reports whether that changed the suspect. At most limit of either kind are kept.
+func (suspect *Suspect) addCrash(target uint64, concurrent bool, limit int) bool {
+	waves, count := len(suspect.Crashed), suspect.crashCount()
+	index, known := slices.BinarySearch(suspect.Concurrent, target)
+	switch {
+	case concurrent && !slices.Contains(suspect.Crashed, target):
+		suspect.Concurrent = insertSorted(suspect.Concurrent, target, limit)
+	case !concurrent:
+		suspect.Crashed = insertSorted(suspect.Crashed, target, limit)
+		if known {
+			suspect.Concurrent = slices.Delete(slices.Clone(suspect.Concurrent), index, index+1)
+		}
+	}
+	return len(suspect.Crashed) != waves || suspect.crashCount() != count
 }
 
 const (
@@ -83,7 +104,7 @@
 			local, known := suspects[reported.Fingerprint]
 			merged := tracker.merge(local, known, reported, now)
 			suspects[reported.Fingerprint] = merged
-			tracker.logQuarantine(merged, len(local.Crashed), instance)
+			tracker.logQuarantine(local, merged, instance)
 		}
 		tracker.deleteExpired(suspects, now)
 	})
@@ -96,7 +117,7 @@
 		local, known := suspects[reported.Fingerprint]
 		merged := tracker.merge(local, known, reported, now)
 		return !known || local.Clearings != merged.Clearings || local.Answered != merged.Answered ||
-			!slices.Equal(local.Crashed, merged.Crashed) || !local.changedAt.Equal(merged.changedAt)
+			!slices.Equal(local.Crashed, merged.Crashed) || !slices.Equal(local.Concurrent, merged.Concurrent) || !local.changedAt.Equal(merged.changedAt)
 	})
 }
 
@@ -106,7 +127,7 @@
 func (tracker *Tracker) merge(local knownSuspect, known bool, reported Suspect, now time.Time) knownSuspect {
 	age := time.Duration(min(max(0, reported.AgeMS), 4*tracker.quarantine.Milliseconds())) * time.Millisecond
 	remote := knownSuspect{Suspect: reported, changedAt: now.Add(-age)}
-	remote.Crashed, remote.AgeMS = tracker.validCrashes(reported.Crashed), 0
+	remote.Crashed, remote.Concurrent, remote.AgeMS = tracker.validCrashes(reported.Crashed), tracker.validCrashes(reported.Concurrent), 0
 	switch {
 	case !known || reported.Clearings > local.Clearings:
 		return remote
@@ -115,14 +136,12 @@
 	}
 	merged := local
 	merged.Answered = local.Answered || reported.Answered
-	if merged.Answered {
-		if len(remote.Crashed) > len(local.Crashed) || (len(remote.Crashed) == len(local.Crashed) && slices.Compare(remote.Crashed, local.Crashed) > 0) {
-			merged.Crashed = remote.Crashed
-		}
-	} else {
-		for _, target := range remote.Crashed {
-			merged.Crashed = insertSorted(merged.Crashed, target, tracker.threshold)
-		}
+	other := remote
+	if merged.Answered && (len(remote.Crashed) > len(local.Crashed) || (len(remote.Crashed) == len(local.Crashed) && slices.Compare(remote.Crashed, local.Crashed) > 0)) {
+		merged.Crashed, merged.Concurrent, other = remote.Crashed, remote.Concurrent, local
+	}
+	for _, target := range slices.Concat(other.Crashed, other.Concurrent) {
+		merged.addCrash(target, merged.Answered, tracker.threshold)
 	}
 	if remote.changedAt.Sub(local.changedAt) > ageTolerance {
 		merged.changedAt = remote.changedAt
