A read that only another instance has seen answered survives a mass crash

Each crash of a rack counted in full at instances that had not answered the request themselves, and three of those quarantined a read that targets answer all the time. Merging now takes the crashes of such a request for one wave as soon as one instance knows an answer; what that instance knows travels with the suspect.

TestAnswerKnownElsewhereSurvivesMassCrash failed before; TestMergeOrderDoesNotMatter draws answered requests too.

--- a/internal/coordination/crash/crash.go
+++ b/internal/coordination/crash/crash.go
@@ -367,7 +367,9 @@
 	before := suspects[run.fingerprint]
 	suspect := before
 	suspect.Fingerprint = run.fingerprint
-	suspect.Answered = suspect.Answered || tracker.completed.has(run.fingerprint)
+	if tracker.completed.has(run.fingerprint) {
+		suspect.setAnswered(tracker.threshold)
+	}
 	changed := suspect.addCrash(run.target.hash(), suspect.Answered && run.known != len(suspect.Crashed), tracker.threshold)
 	if !changed && !tracker.isConvicted(before.Suspect) {
 		return // another run of the request ended in the same crash
--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -268,6 +268,7 @@
 		for range rapid.IntRange(1, 5).Draw(rt, "reports") {
 			reports = append(reports, crash.Suspect{
 				Fingerprint: fingerprint, Clearings: rapid.Uint32Range(0, 2).Draw(rt, "clearings"), Crashed: hashes.Draw(rt, "crashed"),
+				Answered: rapid.Bool().Draw(rt, "answered"),
 			})
 		}
 		forward, backward := crash.New(), crash.New()
@@ -363,3 +364,28 @@
 		t.Errorf("targets that crashed in four waves = %d, want at most 6", crashed)
 	}
 }
+
+// Guards against refusing a read that most instances have not answered yet: the crash
+// of a rack hits it at three targets, and only the fourth instance knows that targets
+// answer it.
+func TestAnswerKnownElsewhereSurvivesMassCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		instances := []*crash.Tracker{newTracker(9), newTracker(9), newTracker(9), newTracker(9)}
+		instances[3].Begin(fingerprint, target(8)).End(crash.Completed)
+		for i, tracker := range instances[:3] {
+			loseRun(tracker, fingerprint, i)
+		}
+		for _, from := range instances {
+			for _, to := range instances {
+				to.Merge("peer", from.Report())
+			}
+		}
+		instances[0].Merge("peer", instances[3].Report())
+		for i, tracker := range instances[1:] {
+			tracker.Merge("peer", instances[0].Report())
+			if isQuarantined(tracker, fingerprint) {
+				t.Errorf("request is quarantined at instance %d after a mass crash", i+1)
+			}
+		}
+	})
+}
--- a/internal/coordination/crash/share.go
+++ b/internal/coordination/crash/share.go
@@ -52,6 +52,22 @@
 	ageTolerance = 5 * time.Second
 )
 
+// setAnswered notes that equal requests have completed before. Which of the crashes
+// belong to one wave is not known then, so that all are taken for one.
+func (suspect *Suspect) setAnswered(limit int) {
+	if suspect.Answered {
+		return
+	}
+	crashed := suspect.Crashed
+	suspect.Answered = true
+	if len(crashed) > 1 {
+		suspect.Crashed = crashed[:1:1]
+		for _, target := range crashed[1:] {
+			suspect.addCrash(target, true, limit)
+		}
+	}
+}
+
 // Report returns the suspects to send to other instances.
 func (tracker *Tracker) Report() []Suspect {
 	suspects := *tracker.suspects.Load()
@@ -128,15 +144,17 @@
 	age := time.Duration(min(max(0, reported.AgeMS), 4*tracker.quarantine.Milliseconds())) * time.Millisecond
 	remote := knownSuspect{Suspect: reported, changedAt: now.Add(-age)}
 	remote.Crashed, remote.Concurrent, remote.AgeMS = tracker.validCrashes(reported.Crashed), tracker.validCrashes(reported.Concurrent), 0
+	if local.Answered || remote.Answered || tracker.completed.has(reported.Fingerprint) {
+		local.setAnswered(tracker.threshold)
+		remote.setAnswered(tracker.threshold)
+	}
 	switch {
 	case !known || reported.Clearings > local.Clearings:
 		return remote
 	case reported.Clearings < local.Clearings:
 		return local
 	}
-	merged := local
-	merged.Answered = local.Answered || reported.Answered
-	other := remote
+	merged, other := local, remote
 	if merged.Answered && (len(remote.Crashed) > len(local.Crashed) || (len(remote.Crashed) == len(local.Crashed) && slices.Compare(remote.Crashed, local.Crashed) > 0)) {
 		merged.Crashed, merged.Concurrent, other = remote.Crashed, remote.Concurrent, local
 	}
