Crashes count against features of runs

A run has a list of features, of which the fingerprint of the request's method, path and body is the only one so far. No behaviour changes; the tests are the same but for the calls, and a fingerprint that is shared became a feature that is shared.

--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,18 +33,22 @@
 
 // loseRun has a target crash while it runs a request.
 func loseRun(tracker *crash.Tracker, fingerprint crash.Fingerprint, i int) {
-	if tracker.Begin(fingerprint, target(i)).End(crash.Lost) {
+	if tracker.Begin(features(fingerprint), target(i)).End(crash.Lost) {
 		tracker.RecordRefused(target(i))
 	}
 }
 
 func isQuarantined(tracker *crash.Tracker, fingerprint crash.Fingerprint) bool {
-	_, quarantined := tracker.Quarantined(fingerprint)
+	_, quarantined := tracker.Quarantined(features(fingerprint))
 	return quarantined
 }
 
 const fingerprint = crash.Fingerprint(7)
 
+func features(fingerprint crash.Fingerprint) []crash.Feature {
+	return []crash.Feature{{Fingerprint: fingerprint}}
+}
+
 // Guards against running a request at a fourth target, and against refusing it before
 // the third has crashed, or for good.
 func TestQuarantineAfterThreeTargets(t *testing.T) {
@@ -56,8 +61,8 @@
 			loseRun(tracker, fingerprint, i)
 			time.Sleep(time.Second)
 		}
-		if remaining, ok := tracker.Quarantined(fingerprint); !ok || remaining != 10*time.Minute-time.Second {
-			t.Errorf("Quarantined() = %v, %t, want 9m59s, true", remaining, ok)
+		if quarantine, ok := tracker.Quarantined(features(fingerprint)); !ok || quarantine.Remaining != 10*time.Minute-time.Second {
+			t.Errorf("Quarantined() = %+v, %t, want 9m59s, true", quarantine, ok)
 		}
 		time.Sleep(10 * time.Minute)
 		if isQuarantined(tracker, fingerprint) {
@@ -75,18 +80,18 @@
 func TestOnlyCrashesCount(t *testing.T) {
 	tests := map[string]func(tracker *crash.Tracker, i int){
 		"connection reset at a target that goes on": func(tracker *crash.Tracker, i int) {
-			tracker.Begin(fingerprint, target(i)).End(crash.Lost)
+			tracker.Begin(features(fingerprint), target(i)).End(crash.Lost)
 		},
 		"connection refused with no run lost": func(tracker *crash.Tracker, i int) {
-			tracker.Begin(fingerprint, target(i)).End(crash.Inconclusive)
+			tracker.Begin(features(fingerprint), target(i)).End(crash.Inconclusive)
 			tracker.RecordRefused(target(i))
 		},
 		"run completed before the target crashed": func(tracker *crash.Tracker, i int) {
-			tracker.Begin(fingerprint, target(i)).End(crash.Completed)
+			tracker.Begin(features(fingerprint), target(i)).End(crash.Completed)
 			tracker.RecordRefused(target(i))
 		},
 		"run lost long before": func(tracker *crash.Tracker, i int) {
-			tracker.Begin(fingerprint, target(i)).End(crash.Lost)
+			tracker.Begin(features(fingerprint), target(i)).End(crash.Lost)
 			time.Sleep(10 * time.Second)
 			tracker.RecordRefused(target(i))
 		},
@@ -95,7 +100,7 @@
 			loseRun(tracker, fingerprint, i)
 		},
 		"target that serves on after its entry has gone": func(tracker *crash.Tracker, i int) {
-			run := tracker.Begin(fingerprint, target(i))
+			run := tracker.Begin(features(fingerprint), target(i))
 			tracker.SetTargets(list(i))
 			run.End(crash.Lost)
 			tracker.RecordRefused(target(i))
@@ -131,7 +136,7 @@
 				tracker := newTracker(9)
 				listed := list(9)
 				for i := range 3 {
-					tracker.Begin(fingerprint, target(i)).End(crash.Abandoned)
+					tracker.Begin(features(fingerprint), target(i)).End(crash.Abandoned)
 					time.Sleep(4 * time.Second)
 					listed = change(listed)
 					tracker.SetTargets(listed)
@@ -153,10 +158,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		first, second := newTracker(9), newTracker(9)
 		for _, tracker := range []*crash.Tracker{first, second} {
-			tracker.Begin(fingerprint, target(8)).End(crash.Completed)
+			tracker.Begin(features(fingerprint), target(8)).End(crash.Completed)
 			var runs []*crash.Run
 			for i := range 8 {
-				runs = append(runs, tracker.Begin(fingerprint, target(i)))
+				runs = append(runs, tracker.Begin(features(fingerprint), target(i)))
 			}
 			for i, run := range runs {
 				run.End(crash.Lost)
@@ -184,7 +189,7 @@
 		const neighbor = crash.Fingerprint(8)
 		for i := range 6 {
 			loseRun(tracker, neighbor, i)
-			tracker.Begin(neighbor, target(8)).End(crash.Completed)
+			tracker.Begin(features(neighbor), target(8)).End(crash.Completed)
 			if isQuarantined(tracker, neighbor) {
 				t.Fatalf("request that completes is quarantined after crash %d", i+1)
 			}
@@ -211,7 +216,7 @@
 				t.Errorf("request is not quarantined at instance %d", i)
 			}
 		}
-		instances[0].Begin(fingerprint, target(8)).End(crash.Completed)
+		instances[0].Begin(features(fingerprint), target(8)).End(crash.Completed)
 		for _, tracker := range append(instances, newcomer) {
 			tracker.Merge("peer", instances[0].Report())
 			if isQuarantined(tracker, fingerprint) {
@@ -252,7 +257,7 @@
 func TestSuspectsAreBounded(t *testing.T) {
 	tracker := newTracker(1)
 	for i := range 5000 {
-		tracker.Begin(crash.Fingerprint(i), target(0)).End(crash.Lost)
+		tracker.Begin(features(crash.Fingerprint(i)), target(0)).End(crash.Lost)
 	}
 	tracker.RecordRefused(target(0))
 	if count := len(tracker.Report()); count > 56 {
@@ -288,11 +293,11 @@
 	request := func() *site.Request {
 		return &site.Request{AttemptID: "1", Method: "POST", Path: "/ask/7", URI: "/ask/7?page=1", Body: []byte("body"), Header: map[string][]string{"X": {"1"}}}
 	}
-	base := crash.NewFingerprint("press", request())
+	base := crash.RequestFeatures("press", request())
 	repeated := request()
 	repeated.AttemptID, repeated.URI, repeated.Header = "2", "/ask/7?page=2", nil
-	if crash.NewFingerprint("press", repeated) != base {
-		t.Error("fingerprint of a repeated request differs")
+	if !shareFeature(crash.RequestFeatures("press", repeated), base) {
+		t.Error("a repeated request shares no feature")
 	}
 	for name, change := range map[string]func(*site.Request){
 		"method": func(request *site.Request) { request.Method = "GET" },
@@ -301,15 +306,19 @@
 	} {
 		other := request()
 		change(other)
-		if crash.NewFingerprint("press", other) == base {
-			t.Errorf("fingerprint of a request with another %s is the same", name)
+		if shareFeature(crash.RequestFeatures("press", other), base) {
+			t.Errorf("a request with another %s shares a feature", name)
 		}
 	}
-	if crash.NewFingerprint("council", request()) == base {
-		t.Error("fingerprint of another team's request is the same")
+	if shareFeature(crash.RequestFeatures("council", request()), base) {
+		t.Error("a request of another team shares a feature")
 	}
 }
 
+func shareFeature(first, second []crash.Feature) bool {
+	return slices.ContainsFunc(first, func(feature crash.Feature) bool { return slices.Contains(second, feature) })
+}
+
 // sendWaves has a request crash its targets as three instances see it: in each wave the
 // caller reaches all of them within 0.2 s, before they can tell each other, and each
 // runs the request at another one of the three targets. These are back 3 s later under
@@ -321,13 +330,13 @@
 			for _, tracker := range instances {
 				tracker.SetTargets([]site.Target{target(3 * wave), target(3*wave + 1), target(3*wave + 2)})
 				if answered && wave == 0 {
-					tracker.Begin(fingerprint, target(0)).End(crash.Completed)
+					tracker.Begin(features(fingerprint), target(0)).End(crash.Completed)
 				}
 			}
 			var runs []*crash.Run
 			for i, tracker := range instances {
 				if !isQuarantined(tracker, fingerprint) {
-					runs = append(runs, tracker.Begin(fingerprint, target(3*wave+i)))
+					runs = append(runs, tracker.Begin(features(fingerprint), target(3*wave+i)))
 				}
 			}
 			for i, run := range runs {
@@ -371,7 +380,7 @@
 func TestAnswerKnownElsewhereSurvivesMassCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		instances := []*crash.Tracker{newTracker(9), newTracker(9), newTracker(9), newTracker(9)}
-		instances[3].Begin(fingerprint, target(8)).End(crash.Completed)
+		instances[3].Begin(features(fingerprint), target(8)).End(crash.Completed)
 		for i, tracker := range instances[:3] {
 			loseRun(tracker, fingerprint, i)
 		}
--- a/internal/transport/proxy/crash.go
+++ b/internal/transport/proxy/crash.go
@@ -16,7 +16,7 @@
 // isQuarantined reports whether the request must not run since targets ended under
 // equal ones.
 func (exchange *exchange) isQuarantined() bool {
-	_, quarantined := exchange.proxy.crashes.Quarantined(exchange.fingerprint)
+	_, quarantined := exchange.proxy.crashes.Quarantined(exchange.features)
 	return quarantined
 }
 
@@ -24,12 +24,13 @@
 // ended under equal ones, nil for any other. Its retry delay is the rest of the
 // quarantine.
 func (exchange *exchange) quarantineError() error {
-	remaining, quarantined := exchange.proxy.crashes.Quarantined(exchange.fingerprint)
+	quarantine, quarantined := exchange.proxy.crashes.Quarantined(exchange.features)
 	if !quarantined {
 		return nil
 	}
+	exchange.quarantined = quarantine.Feature
 	err := code.Errorf(code.RequestSuspended, "targets ended while they ran equal requests")
-	return code.WithRetryDelay(err, remaining)
+	return code.WithRetryDelay(err, quarantine.Remaining)
 }
 
 // endRecord ends the record of a run, and checks its target if that may have ended.
--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -84,7 +84,7 @@
 	}
 	event.Str("run", code.RunStatusFromError(exchange.failure).String()).Str("error", exchange.failure.Error())
 	if code.Is(exchange.failure, code.RequestSuspended) {
-		event.Uint64("fingerprint", uint64(exchange.fingerprint))
+		event.Uint64("fingerprint", uint64(exchange.quarantined.Fingerprint))
 	}
 	if delay := code.RetryDelay(exchange.failure); delay > 0 {
 		event.Int64("retry-after-ms", delay.Milliseconds())
