Answers to other queries do not clear a request that crashes its targets

A request was known by its method, path and body without the query. If one query crashes its targets and targets answer others of the path, each answer cleared it, and target after target was lost (BUDGET). The request with its query is a second feature of a run now; either suffices for the quarantine, so that repeats with other queries are still found.

The test of features changes URI and path together, as they are in a request.

--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -301,7 +301,7 @@
 	}
 	for name, change := range map[string]func(*site.Request){
 		"method": func(request *site.Request) { request.Method = "GET" },
-		"path":   func(request *site.Request) { request.Path = "/ask/8" },
+		"path":   func(request *site.Request) { request.Path, request.URI = "/ask/8", "/ask/8?page=1" },
 		"body":   func(request *site.Request) { request.Body = []byte("other") },
 	} {
 		other := request()
--- a/internal/coordination/crash/feature.go
+++ b/internal/coordination/crash/feature.go
@@ -15,11 +15,15 @@
 	Fingerprint Fingerprint
 }
 
-// RequestFeatures returns the features by which equal requests of a team are known.
-// Requests differ if their methods, paths or bodies do; queries and headers are left
-// out.
+// RequestFeatures returns the features by which equal requests of a team are known:
+// method, path and body, and the same with the query if there is one. Headers are left
+// out. A request may crash its targets with any query, or with one of many only.
 func RequestFeatures(team string, request *site.Request) []Feature {
-	return []Feature{newRequestFeature(team, request, request.Path)}
+	features := []Feature{newRequestFeature(team, request, request.Path)}
+	if request.URI != request.Path {
+		features = append(features, newRequestFeature(team, request, request.URI))
+	}
+	return features
 }
 
 func newRequestFeature(team string, request *site.Request, path string) Feature {
