--- a/internal/transport/proxy/crash_test.go
+++ b/internal/transport/proxy/crash_test.go
@@ -135,3 +135,65 @@
 		t.Errorf("targets that crashed under the request = %d, want 3", crashes.Load())
 	}
 }
+
+const deadlyPart = "dead"
+
+// startPartCrashingEngines starts decode engines that crash under prompts with
+// deadlyPart, and a prefill engine that reads them all.
+func (harness *harness) startPartCrashingEngines(count int, crashes *atomic.Int64) {
+	harness.startTarget("p1", "llm", site.Prefill, respondPrefilled)
+	for i := range count {
+		engine := harness.startCrashingTarget(fmt.Sprint("d", i), "llm", site.Decode, crashes, func(w http.ResponseWriter, r *http.Request) { sendEvents(w, r, 3) })
+		engine.crashesOn = func(r *http.Request, _ string) bool {
+			return strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart)
+		}
+	}
+}
+
+// newPrompt returns a request with some parts and a last one of its own.
+func (harness *harness) newPrompt(path string, number int, parts ...string) *http.Request {
+	request := harness.newRequest(http.MethodPost, fmt.Sprint(path, number))
+	prefix := ""
+	for _, part := range parts {
+		prefix += part + ":400,"
+	}
+	request.Header.Set("Prompt-Prefix", fmt.Sprintf("%s%x:250", prefix, number))
+	return request
+}
+
+// Guards against losing one engine after the other to a part of prompts that crashes
+// each engine that decodes it: no two of the requests are alike.
+func TestPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	for name, parts := range map[string][]string{
+		"first of two":    {deadlyPart},
+		"second of three": {"5c1e07a2", deadlyPart},
+		"third of four":   {"5c1e07a2", "91bd3f06", deadlyPart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			var crashes atomic.Int64
+			harness.startPartCrashingEngines(8, &crashes)
+			number := 0
+			send := func(parts ...string) callerResponse {
+				number++
+				response := harness.do(harness.newPrompt("/ask/", number, parts...))
+				harness.proxy.Wait()
+				return response
+			}
+			for range 6 {
+				send(parts...)
+				if response := send("5c1e07a2", "91bd3f06"); response.status != http.StatusOK {
+					t.Errorf("status of a sound request with other parts of the prompt = %d, want 200", response.status)
+				}
+			}
+			if crashes.Load() != 3 {
+				t.Errorf("engines that crashed under the part = %d, want 3", crashes.Load())
+			}
+			response := send(parts...)
+			seconds, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
+			if response.status != http.StatusServiceUnavailable || response.header.Get("X-Mangopier-Run") != "not-run" || err != nil || seconds < 60 {
+				t.Errorf("response = %d with headers %v, want 503, not-run, and a Retry-After of 60 or more", response.status, response.header)
+			}
+		})
+	}
+}
