Parts of prompts that crash engines are quarantined by all instances

Runs were known by method, path and body alone. Class of fault: evidence that is kept for one granularity only.

Counting alone would refuse the first part that such prompts share with sound ones, or a request that was hit three times, so that the smallest explanation of all crashes is convicted.

TestPartThatCrashesEnginesIsQuarantined failed before (6 of 8 engines, want 3).

--- a/internal/coordination/crash/blame.go
+++ b/internal/coordination/crash/blame.go
@@ -9,21 +9,24 @@
 
 const (
 	maxSuspects = 1024
+	// maxCrashes bounds the crashes of either kind that are kept against a feature. More
+	// than the threshold tell features apart that occur together.
+	maxCrashes = 8
 	// minWaves is under how many crashes, each known when the next run began, a request
 	// that was answered before is quarantined if the threshold counts all crashes.
 	minWaves = 2
 )
 
-// isConvicted reports whether enough targets ended under a request. Crashes at the same
-// time are one wave.
-func (tracker *Tracker) isConvicted(suspect Suspect) bool {
+// hasEnoughCrashes reports whether enough targets ended under a feature. Crashes at the
+// same time are one wave.
+func (tracker *Tracker) hasEnoughCrashes(suspect Suspect) bool {
 	waves := len(suspect.Crashed)
 	return waves >= tracker.threshold || (waves >= minWaves && waves+len(suspect.Concurrent) >= tracker.threshold)
 }
 
 // blame counts the crash of a target against requests.
 func (tracker *Tracker) blame(ended []endedRun, now time.Time) {
-	tracker.update(func(suspects map[Fingerprint]knownSuspect) {
+	tracker.update("own run", func(suspects map[Fingerprint]knownSuspect) {
 		for _, run := range ended {
 			for _, feature := range run.features {
 				tracker.blameOne(suspects, feature, run.target, now)
@@ -39,12 +42,12 @@
 func (tracker *Tracker) blameOne(suspects map[Fingerprint]knownSuspect, feature runFeature, target targetRun, now time.Time) {
 	before := suspects[feature.Fingerprint]
 	suspect := before
-	suspect.Fingerprint = feature.Fingerprint
-	if tracker.completed.has(feature.Fingerprint) {
-		suspect.setAnswered(tracker.threshold)
+	suspect.Fingerprint, suspect.Part = feature.Fingerprint, max(feature.Part, before.Part)
+	if tracker.completed(feature.Part).has(feature.Fingerprint) {
+		suspect.setAnswered(maxCrashes)
 	}
-	changed := suspect.addCrash(target.hash(), suspect.Answered && feature.known != len(suspect.Crashed), tracker.threshold)
-	if !changed && !tracker.isConvicted(before.Suspect) {
+	changed := suspect.addCrash(target.hash(), suspect.Answered && feature.known != len(suspect.Crashed), maxCrashes)
+	if !changed && !tracker.hasEnoughCrashes(before.Suspect) {
 		return // another run with the feature ended in the same crash
 	}
 	suspect.changedAt = now
@@ -52,21 +55,13 @@
 	if suspect.crashCount() > 1 {
 		tracker.news.Store(urgentReports)
 	}
-	tracker.logQuarantine(before, suspect, "own run")
-}
-
-func (tracker *Tracker) logQuarantine(before, suspect knownSuspect, source string) {
-	if !tracker.isConvicted(before.Suspect) && tracker.isConvicted(suspect.Suspect) {
-		tracker.logger.Error().Uint64("fingerprint", uint64(suspect.Fingerprint)).Int("targets", suspect.crashCount()).Str("from", source).
-			Dur("quarantine-ms", tracker.quarantine).Msg("request quarantined: targets ended under it")
-	}
 }
 
 // clear removes the crashes that count against a request.
 func (tracker *Tracker) clear(fingerprint Fingerprint) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	tracker.update(func(suspects map[Fingerprint]knownSuspect) {
+	tracker.update("own run", func(suspects map[Fingerprint]knownSuspect) {
 		suspect, ok := suspects[fingerprint]
 		if !ok || len(suspect.Crashed) == 0 {
 			return
@@ -77,12 +72,20 @@
 	})
 }
 
-// update replaces the suspects by a changed copy. The caller holds the mutex.
-func (tracker *Tracker) update(change func(suspects map[Fingerprint]knownSuspect)) {
-	suspects := maps.Clone(*tracker.suspects.Load())
+// update replaces the suspects by a changed copy. Source names who told the change. The
+// caller holds the mutex.
+func (tracker *Tracker) update(source string, change func(suspects map[Fingerprint]knownSuspect)) {
+	before := tracker.beliefs.Load()
+	suspects := maps.Clone(before.suspects)
 	change(suspects)
 	evict(suspects, len(suspects)-maxSuspects)
-	tracker.suspects.Store(&suspects)
+	beliefs := &beliefs{suspects: suspects, convicted: tracker.convict(suspects)}
+	tracker.beliefs.Store(beliefs)
+	for fingerprint, conviction := range beliefs.convicted {
+		if _, known := before.convicted[fingerprint]; !known {
+			tracker.logConviction(suspects[fingerprint], conviction, source)
+		}
+	}
 }
 
 // evict removes a number of suspects: those with the fewest crashes, of these the
@@ -112,9 +115,9 @@
 			delete(tracker.checkedAt, run)
 		}
 	}
-	for _, suspect := range *tracker.suspects.Load() {
+	for _, suspect := range tracker.beliefs.Load().suspects {
 		if now.Sub(suspect.changedAt) > 2*tracker.quarantine {
-			tracker.update(func(suspects map[Fingerprint]knownSuspect) { tracker.deleteExpired(suspects, now) })
+			tracker.update("expiry", func(suspects map[Fingerprint]knownSuspect) { tracker.deleteExpired(suspects, now) })
 			return
 		}
 	}
--- a/internal/coordination/crash/completed.go
+++ b/internal/coordination/crash/completed.go
@@ -2,10 +2,10 @@
 
 import "sync/atomic"
 
-// completedSlots bounds the requests that are known to have completed.
+// completedSlots bounds the features of either kind that are known to have completed.
 const completedSlots = 1 << 12
 
-// completedSet holds fingerprints of requests that completed. A newer one may take
+// completedSet holds fingerprints of features whose runs completed. A newer one may take
 // the place of an older one.
 type completedSet struct {
 	slots [completedSlots]atomic.Uint64
--- a/internal/coordination/crash/crash.go
+++ b/internal/coordination/crash/crash.go
@@ -65,9 +65,10 @@
 	threshold  int
 	quarantine time.Duration
 
-	suspects  atomic.Pointer[map[Fingerprint]knownSuspect] // replaced as a whole
-	completed completedSet
-	news      atomic.Int32 // reports that are to go to all instances at once
+	beliefs           atomic.Pointer[beliefs] // replaced as a whole
+	completedRequests completedSet
+	completedParts    completedSet
+	news              atomic.Int32 // reports that are to go to all instances at once
 
 	mutex      sync.Mutex // held while the fields below and suspects change
 	listed     map[targetRun]listedTarget
@@ -88,20 +89,28 @@
 	return slices.ContainsFunc(ended.features, func(feature runFeature) bool { return feature.known > 0 })
 }
 
-// knownSuspect holds the crashes that count against a request.
+// knownSuspect holds the crashes that count against a feature.
 type knownSuspect struct {
 	Suspect
 
 	changedAt time.Time // of the last crash or clearing
 }
 
+// completed returns the features of a kind whose runs completed at this instance.
+func (tracker *Tracker) completed(part int) *completedSet {
+	if part > 0 {
+		return &tracker.completedParts
+	}
+	return &tracker.completedRequests
+}
+
 // New returns a tracker without suspects.
 func New(opts ...Option) *Tracker {
 	tracker := &Tracker{
 		logger: zerolog.Nop(), threshold: defaultThreshold, quarantine: defaultQuarantine,
 		listed: map[targetRun]listedTarget{}, crashed: map[targetRun]time.Time{}, checkedAt: map[targetRun]time.Time{},
 	}
-	tracker.suspects.Store(&map[Fingerprint]knownSuspect{})
+	tracker.beliefs.Store(&beliefs{suspects: map[Fingerprint]knownSuspect{}})
 	for _, opt := range opts {
 		opt(tracker)
 	}
@@ -116,12 +125,12 @@
 
 // Quarantined returns the longest quarantine of some features, and whether there is one.
 func (tracker *Tracker) Quarantined(features []Feature) (longest Quarantine, quarantined bool) {
-	suspects := *tracker.suspects.Load()
+	beliefs := tracker.beliefs.Load()
 	for _, feature := range features {
-		suspect, ok := suspects[feature.Fingerprint]
-		if !ok || !tracker.isConvicted(suspect.Suspect) {
+		if _, convicted := beliefs.convicted[feature.Fingerprint]; !convicted {
 			continue
 		}
+		suspect := beliefs.suspects[feature.Fingerprint]
 		if remaining := tracker.quarantine - time.Since(suspect.changedAt); remaining > longest.Remaining {
 			longest = Quarantine{feature, remaining}
 		}
@@ -155,7 +164,7 @@
 
 // waves returns the number of waves of crashes that are known against a feature.
 func (tracker *Tracker) waves(feature Feature) int {
-	return len((*tracker.suspects.Load())[feature.Fingerprint].Crashed)
+	return len(tracker.beliefs.Load().suspects[feature.Fingerprint].Crashed)
 }
 
 // End records how the run ended. It returns true if the caller should check whether
@@ -168,7 +177,7 @@
 		return false
 	case Completed:
 		for _, feature := range run.features {
-			tracker.completed.add(feature.Fingerprint)
+			tracker.completed(feature.Part).add(feature.Fingerprint)
 			if tracker.waves(feature.Feature) > 0 {
 				tracker.clear(feature.Fingerprint)
 			}
--- a/internal/coordination/crash/feature.go
+++ b/internal/coordination/crash/feature.go
@@ -13,6 +13,7 @@
 // Feature is what runs have in common that may make them crash their targets.
 type Feature struct {
 	Fingerprint Fingerprint
+	Part        int // position in the prompt, from 1, of the part that the runs share, 0 if they share the request
 }
 
 // RequestFeatures returns the features by which equal requests of a team are known:
@@ -33,5 +34,22 @@
 		_, _ = digest.Write([]byte{0})
 	}
 	_, _ = digest.Write(request.Body)
-	return Feature{poison.NewFingerprint(team, digest.Sum64())}
+	return Feature{Fingerprint: poison.NewFingerprint(team, digest.Sum64())}
+}
+
+// PartFeatures returns the features of a prompt: its parts but the last one, which no
+// other prompt shares. The same part counts alike for all teams. Prompt may be nil.
+func PartFeatures(prompt *site.Prompt) []Feature {
+	if prompt == nil || len(prompt.Parts) < 2 {
+		return nil
+	}
+	features := make([]Feature, 0, len(prompt.Parts)-1)
+	for i, part := range prompt.Parts[:len(prompt.Parts)-1] {
+		digest := xxhash.New()
+		_, _ = digest.WriteString(prompt.Model)
+		_, _ = digest.Write([]byte{0})
+		_, _ = digest.WriteString(part.ID)
+		features = append(features, Feature{Fingerprint: Fingerprint(digest.Sum64()), Part: i + 1})
+	}
+	return features
 }
--- a/internal/coordination/crash/share.go
+++ b/internal/coordination/crash/share.go
@@ -7,14 +7,15 @@
 	"time"
 )
 
-// Suspect holds the crashes that count against a request, as instances exchange
-// them.
+// Suspect holds the crashes that count against a feature of requests, as instances
+// exchange them.
 type Suspect struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint"`
-	Clearings   uint32      `cbor:"2,keyasint,omitempty"` // how often a completed run has cleared the request
+	Clearings   uint32      `cbor:"2,keyasint,omitempty"` // how often a completed run has cleared the feature
 	Crashed     []uint64    `cbor:"3,keyasint,omitempty"` // hashes of distinct targets since the last clearing, sorted
-	Answered    bool        `cbor:"4,keyasint,omitempty"` // equal requests have completed before
+	Answered    bool        `cbor:"4,keyasint,omitempty"` // runs with the feature have completed before
 	AgeMS       int64       `cbor:"5,keyasint,omitempty"` // since the last crash or clearing, in milliseconds
+	Part        int         `cbor:"7,keyasint,omitempty"` // that of the feature
 	Concurrent  []uint64    `cbor:"6,keyasint,omitempty"` // more such hashes, sorted, if Answered: of targets that crashed together with one in Crashed
 }
 
@@ -52,7 +53,7 @@
 	ageTolerance = 5 * time.Second
 )
 
-// setAnswered notes that equal requests have completed before. Which of the crashes
+// setAnswered notes that runs with the feature have completed before. Which of the crashes
 // belong to one wave is not known then, so that all are taken for one.
 func (suspect *Suspect) setAnswered(limit int) {
 	if suspect.Answered {
@@ -70,7 +71,7 @@
 
 // Report returns the suspects to send to other instances.
 func (tracker *Tracker) Report() []Suspect {
-	suspects := *tracker.suspects.Load()
+	suspects := tracker.beliefs.Load().suspects
 	if len(suspects) == 0 {
 		return nil
 	}
@@ -83,9 +84,7 @@
 			older = append(older, suspect)
 		}
 	}
-	slices.SortFunc(recent, func(a, b knownSuspect) int {
-		return cmp.Or(cmp.Compare(len(b.Crashed), len(a.Crashed)), b.changedAt.Compare(a.changedAt), cmp.Compare(a.Fingerprint, b.Fingerprint))
-	})
+	slices.SortFunc(recent, compareUrgency)
 	rand.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
 	reported := slices.Concat(recent[:min(len(recent), maxReported)], older[:min(len(older), maxRepeated)])
 	report := make([]Suspect, 0, len(reported))
@@ -96,6 +95,26 @@
 	return report
 }
 
+// compareUrgency orders suspects by how much depends on telling them: those with more
+// crashes first, then those that no target is known to have answered, then parts, then
+// newer ones.
+func compareUrgency(a, b knownSuspect) int {
+	return cmp.Or(cmp.Compare(b.crashCount(), a.crashCount()), compareBool(a.Answered, b.Answered),
+		compareBool(a.Part == 0, b.Part == 0), b.changedAt.Compare(a.changedAt), cmp.Compare(a.Fingerprint, b.Fingerprint))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // TakeNews reports whether the next report should go to all instances at once, since
 // this instance has found a request that has crashed more than one target.
 func (tracker *Tracker) TakeNews() bool {
@@ -115,12 +134,10 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	now := time.Now()
-	tracker.update(func(suspects map[Fingerprint]knownSuspect) {
+	tracker.update(instance, func(suspects map[Fingerprint]knownSuspect) {
 		for _, reported := range report {
 			local, known := suspects[reported.Fingerprint]
-			merged := tracker.merge(local, known, reported, now)
-			suspects[reported.Fingerprint] = merged
-			tracker.logQuarantine(local, merged, instance)
+			suspects[reported.Fingerprint] = tracker.merge(local, known, reported, now)
 		}
 		tracker.deleteExpired(suspects, now)
 	})
@@ -128,11 +145,11 @@
 
 // hasChange reports whether a report differs from what is known.
 func (tracker *Tracker) hasChange(report []Suspect) bool {
-	suspects, now := *tracker.suspects.Load(), time.Now()
+	suspects, now := tracker.beliefs.Load().suspects, time.Now()
 	return slices.ContainsFunc(report, func(reported Suspect) bool {
 		local, known := suspects[reported.Fingerprint]
 		merged := tracker.merge(local, known, reported, now)
-		return !known || local.Clearings != merged.Clearings || local.Answered != merged.Answered ||
+		return !known || local.Clearings != merged.Clearings || local.Answered != merged.Answered || local.Part != merged.Part ||
 			!slices.Equal(local.Crashed, merged.Crashed) || !slices.Equal(local.Concurrent, merged.Concurrent) || !local.changedAt.Equal(merged.changedAt)
 	})
 }
@@ -143,10 +160,10 @@
 func (tracker *Tracker) merge(local knownSuspect, known bool, reported Suspect, now time.Time) knownSuspect {
 	age := time.Duration(min(max(0, reported.AgeMS), 4*tracker.quarantine.Milliseconds())) * time.Millisecond
 	remote := knownSuspect{Suspect: reported, changedAt: now.Add(-age)}
-	remote.Crashed, remote.Concurrent, remote.AgeMS = tracker.validCrashes(reported.Crashed), tracker.validCrashes(reported.Concurrent), 0
-	if local.Answered || remote.Answered || tracker.completed.has(reported.Fingerprint) {
-		local.setAnswered(tracker.threshold)
-		remote.setAnswered(tracker.threshold)
+	remote.Crashed, remote.Concurrent, remote.AgeMS = validCrashes(reported.Crashed), validCrashes(reported.Concurrent), 0
+	if local.Answered || remote.Answered || tracker.completed(reported.Part).has(reported.Fingerprint) {
+		local.setAnswered(maxCrashes)
+		remote.setAnswered(maxCrashes)
 	}
 	switch {
 	case !known || reported.Clearings > local.Clearings:
@@ -155,11 +172,12 @@
 		return local
 	}
 	merged, other := local, remote
+	merged.Part = max(local.Part, remote.Part) // reports of older builds lack it
 	if merged.Answered && (len(remote.Crashed) > len(local.Crashed) || (len(remote.Crashed) == len(local.Crashed) && slices.Compare(remote.Crashed, local.Crashed) > 0)) {
 		merged.Crashed, merged.Concurrent, other = remote.Crashed, remote.Concurrent, local
 	}
 	for _, target := range slices.Concat(other.Crashed, other.Concurrent) {
-		merged.addCrash(target, merged.Answered, tracker.threshold)
+		merged.addCrash(target, merged.Answered, maxCrashes)
 	}
 	if remote.changedAt.Sub(local.changedAt) > ageTolerance {
 		merged.changedAt = remote.changedAt
@@ -167,9 +185,9 @@
 	return merged
 }
 
-// validCrashes returns the crashes of a report sorted, without duplicates, and not
-// more than the threshold.
-func (tracker *Tracker) validCrashes(crashed []uint64) []uint64 {
+// validCrashes returns the crashes of a report sorted, without duplicates, and at most
+// maxCrashes.
+func validCrashes(crashed []uint64) []uint64 {
 	valid := slices.Compact(slices.Sorted(slices.Values(crashed)))
-	return valid[:min(len(valid), tracker.threshold)]
+	return valid[:min(len(valid), maxCrashes)]
 }
--- a/internal/protocol/code/code.go
+++ b/internal/protocol/code/code.go
@@ -42,6 +42,7 @@
 	BodyMemoryFull
 	NotReady
 	RequestSuspended
+	PromptPartSuspended
 )
 
 // Result codes of requests that were sent to a target.
@@ -172,6 +173,7 @@
 	{BodyMemoryFull, "body-memory-full", http.StatusServiceUnavailable, NotRun, 1, "Too many bytes of bodies are arriving at once."},
 	{NotReady, "not-ready", http.StatusServiceUnavailable, NotRun, 1, "The instance has no release note yet."},
 	{RequestSuspended, "request-suspended", http.StatusServiceUnavailable, NotRun, 600, "Targets ended under equal requests; it is not run for the time in Retry-After."},
+	{PromptPartSuspended, "prompt-part-suspended", http.StatusServiceUnavailable, NotRun, 600, "Targets ended under prompts with the same part; it is not run for the time in Retry-After."},
 	{TargetFailed, "target-failed", http.StatusBadGateway, RunUnknown, 1, "The target failed after the request was sent."},
 	{AnswerTruncated, "answer-truncated", http.StatusBadGateway, Ran, 1, "The answer ended before it was whole."},
 	{TargetTimeout, "target-timeout", http.StatusGatewayTimeout, RunUnknown, 1, "The target did not answer in time."},
--- a/internal/transport/proxy/crash.go
+++ b/internal/transport/proxy/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -13,23 +14,36 @@
 	"mangopier.example/mangopier/internal/transport/back"
 )
 
-// isQuarantined reports whether the request must not run since targets ended under
-// equal ones.
+// requestFeatures are the features of a request that may make targets crash: those of
+// the request itself, and these with the parts of its prompt. Only a target that writes
+// the answer crashes under a part, and a prompt that was prefilled proves nothing.
+type requestFeatures struct{ request, all []crash.Feature }
+
+func newRequestFeatures(team string, request *site.Request) requestFeatures {
+	features := crash.RequestFeatures(team, request)
+	return requestFeatures{request: features, all: slices.Concat(features, crash.PartFeatures(request.Prompt))}
+}
+
+// isQuarantined reports whether the request must not run, see quarantineError.
 func (exchange *exchange) isQuarantined() bool {
-	_, quarantined := exchange.proxy.crashes.Quarantined(exchange.features)
+	_, quarantined := exchange.proxy.crashes.Quarantined(exchange.features.all)
 	return quarantined
 }
 
 // quarantineError returns the error of a request that must not run since targets
-// ended under equal ones, nil for any other. Its retry delay is the rest of the
+// ended under equal ones, or under ones with the same part of the prompt, nil for any
+// other. Its retry delay is the rest of the
 // quarantine.
 func (exchange *exchange) quarantineError() error {
-	quarantine, quarantined := exchange.proxy.crashes.Quarantined(exchange.features)
+	quarantine, quarantined := exchange.proxy.crashes.Quarantined(exchange.features.all)
 	if !quarantined {
 		return nil
 	}
 	exchange.quarantined = quarantine.Feature
 	err := code.Errorf(code.RequestSuspended, "targets ended while they ran equal requests")
+	if quarantine.Feature.Part > 0 {
+		err = code.Errorf(code.PromptPartSuspended, "targets ended while they answered prompts with the same part")
+	}
 	return code.WithRetryDelay(err, quarantine.Remaining)
 }
 
--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -71,7 +71,7 @@
 	run.ctx, run.cancel = context.WithCancel(ctx)
 	if run.peer == "" {
 		run.handle = source.handle
-		run.record, run.result = exchange.proxy.crashes.Begin(exchange.features, run.assignment.Target), crash.Abandoned
+		run.record, run.result = exchange.proxy.crashes.Begin(exchange.features.all, run.assignment.Target), crash.Abandoned
 	}
 	call := &site.Call{
 		Target: run.assignment.Target, TimeRemaining: exchange.remaining(), Team: exchange.team.Name,
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -35,14 +35,14 @@
 	team     site.Team
 	service  site.Service
 
-	features      []crash.Feature // that may make its runs crash targets
-	reservedBytes atomic.Int64    // of the response memory
-	arrivals      atomic.Int64    // calls that may have reached a target, here or from another instance
-	spentRetries  int64           // taken from the retry budget
-	runs          int             // targets that may have run the request
-	usageCounted  bool            // the request is in the usage report
-	headerSent    bool            // the response's header was sent to the caller
-	quarantined   crash.Feature   // for which the request was refused
+	features      requestFeatures
+	reservedBytes atomic.Int64  // of the response memory
+	arrivals      atomic.Int64  // calls that may have reached a target, here or from another instance
+	spentRetries  int64         // taken from the retry budget
+	runs          int           // targets that may have run the request
+	usageCounted  bool          // the request is in the usage report
+	headerSent    bool          // the response's header was sent to the caller
+	quarantined   crash.Feature // for which the request was refused
 
 	// Fields of the log line.
 	status          string
--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -83,8 +83,11 @@
 		return
 	}
 	event.Str("run", code.RunStatusFromError(exchange.failure).String()).Str("error", exchange.failure.Error())
-	if code.Is(exchange.failure, code.RequestSuspended) {
-		event.Uint64("fingerprint", uint64(exchange.quarantined.Fingerprint))
+	if fingerprint := exchange.quarantined.Fingerprint; fingerprint != 0 {
+		event.Uint64("fingerprint", uint64(fingerprint))
+	}
+	if part := exchange.quarantined.Part; part > 0 {
+		event.Str("prompt-part", sanitizeForLog(exchange.request.Prompt.Parts[part-1].ID))
 	}
 	if delay := code.RetryDelay(exchange.failure); delay > 0 {
 		event.Int64("retry-after-ms", delay.Milliseconds())
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -123,7 +123,7 @@
 	}
 	var forwarded *site.ForwardedRequest
 	if call.peer == "" {
-		call.record = exchange.proxy.crashes.Begin(exchange.features, call.assignment.Target)
+		call.record = exchange.proxy.crashes.Begin(exchange.features.request, call.assignment.Target)
 	} else {
 		forwarded = exchange.newForwarded(exchange.request.LastEventID)
 	}
--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -90,7 +90,7 @@
 	exchange.proxy.scheduler.BeginPrefill(prefill)
 	call := &prefillCall{
 		prefill: prefill, started: time.Now(), done: make(chan struct{}),
-		record: exchange.proxy.crashes.Begin(exchange.features, prefill.Target),
+		record: exchange.proxy.crashes.Begin(exchange.features.request, prefill.Target),
 	}
 	ctx, call.cancel = context.WithCancel(ctx)
 	stage.inFlight = append(stage.inFlight, call)
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -184,7 +184,7 @@
 	ctx, cancel := context.WithDeadline(callerCtx, exchange.deadline)
 	defer cancel()
 	defer context.AfterFunc(exchange.proxy.ended, cancel)()
-	exchange.features = crash.RequestFeatures(exchange.team.Name, exchange.request)
+	exchange.features = newRequestFeatures(exchange.team.Name, exchange.request)
 	if err := exchange.quarantineError(); err != nil {
 		exchange.refuse(err)
 		return
