A stream without a length that ends before its first event has been broken off

Callers got an empty stream that looked whole when an engine ended after the header of a response that has neither a length nor chunks, and the request and the parts of its prompt counted as answered. Such a run is complete only after an event. What remains: a run that was resumed after the last event and has nothing to send counts as broken.

--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -67,6 +67,9 @@
 	Header  http.Header
 	Body    io.ReadCloser
 	Refused bool // the target states that it did not run the call
+	// EndsWithConnection states that the body has neither a length nor chunks: a target
+	// that ends while it sends the body may seem to have sent all of it.
+	EndsWithConnection bool
 }
 
 // CallError is the error of a call without a usable response.
@@ -167,6 +170,8 @@
 		Header:  response.Header,
 		Body:    response.Body,
 		Refused: response.Header.Get(client.notRunHeader) != "",
+
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}, nil
 }
 
--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -34,6 +34,7 @@
 	memory     *responseMemory
 	reserved   int       // bytes of memory that pending takes
 	pending    []byte    // events, or the beginning of one, that the caller does not have
+	hasSent    bool      // the run has sent a complete event
 	ended      error     // why the body ended, io.EOF if it is complete
 	receivedAt time.Time // when bytes were received, or the call was sent
 }
@@ -159,8 +160,12 @@
 	return bytes.Contains(run.pending, eventSeparator) || run.isComplete()
 }
 
-// isComplete reports whether the body ended as complete after the pending events.
+// isComplete reports whether the body ended as complete after the pending events. A body
+// that ends with its connection is only known to be whole after an event.
 func (run *decodeRun) isComplete() bool {
+	if run.response != nil && run.response.EndsWithConnection && !run.hasSent {
+		return false
+	}
 	return errors.Is(run.ended, io.EOF) && len(bytes.TrimSpace(run.pending)) == 0
 }
 
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -46,6 +46,7 @@
 	end := bytes.LastIndex(run.pending, eventSeparator)
 	if end >= 0 {
 		end += len(eventSeparator)
+		run.hasSent = true
 		if !stream.writeEvents(run.response, run.pending[:end]) {
 			return false
 		}
