The end of an event is searched for in new bytes only

A target that sends an event without an end made the instance search all pending bytes at each read: an event of 1 MiB cost 32 MiB of search. The search begins where the last one ended.

--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -34,6 +34,7 @@
 	memory     *responseMemory
 	reserved   int       // bytes of memory that pending takes
 	pending    []byte    // events, or the beginning of one, that the caller does not have
+	eventsEnd  int       // length of the complete events in pending
 	hasSent    bool      // the run has sent a complete event
 	ended      error     // why the body ended, io.EOF if it is complete
 	receivedAt time.Time // when bytes were received, or the call was sent
@@ -147,17 +148,33 @@
 		run.ended = result.err
 	default:
 		run.receivedAt = time.Now()
-		run.pending = append(run.pending, result.data...)
+		run.append(result.data)
 		if len(run.pending) > maxPendingBytes || !run.reservePending() {
 			run.ended = errResponseMemory
 		}
 	}
 }
 
+// append adds data to the pending bytes. Only the new ones are searched for the end of
+// an event, which may begin in the byte before them.
+func (run *decodeRun) append(data []byte) {
+	from := max(run.eventsEnd, len(run.pending)-len(eventSeparator)+1)
+	run.pending = append(run.pending, data...)
+	if end := bytes.LastIndex(run.pending[from:], eventSeparator); end >= 0 {
+		run.eventsEnd = from + end + len(eventSeparator)
+	}
+}
+
+// removeEvents removes the complete events in pending.
+func (run *decodeRun) removeEvents() {
+	run.pending = append(run.pending[:0], run.pending[run.eventsEnd:]...)
+	run.eventsEnd = 0
+}
+
 // hasEvent reports whether a complete event is pending, or the body ended as
 // complete.
 func (run *decodeRun) hasEvent() bool {
-	return bytes.Contains(run.pending, eventSeparator) || run.isComplete()
+	return run.eventsEnd > 0 || run.isComplete()
 }
 
 // isComplete reports whether the body ended as complete after the pending events. A body
@@ -187,7 +204,7 @@
 		}
 	}
 	run.cancel()
-	run.pending = nil
+	run.pending, run.eventsEnd = nil, 0
 	run.reservePending()
 	exchange.releaseRun(run)
 	if run.record != nil {
--- a/internal/transport/proxy/endless_test.go
+++ b/internal/transport/proxy/endless_test.go
@@ -10,7 +10,7 @@
 	"mangopier.example/mangopier/internal/transport/proxy"
 )
 
-const responseMemory = 128 << 10
+const responseMemory = 1 << 20
 
 // respondWithoutEnd sends bytes until the connection is closed.
 func respondWithoutEnd(text string) http.HandlerFunc {
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"net/http"
 	"strings"
 	"time"
@@ -43,14 +42,12 @@
 // forward sends the pending complete events of a run to the caller. It returns false
 // if the stream cannot go on: the caller has gone, or an event is too large.
 func (stream *stream) forward(run *decodeRun) bool {
-	end := bytes.LastIndex(run.pending, eventSeparator)
-	if end >= 0 {
-		end += len(eventSeparator)
+	if run.eventsEnd > 0 {
 		run.hasSent = true
-		if !stream.writeEvents(run.response, run.pending[:end]) {
+		if !stream.writeEvents(run.response, run.pending[:run.eventsEnd]) {
 			return false
 		}
-		run.pending = append(run.pending[:0], run.pending[end:]...)
+		run.removeEvents()
 	}
 	if len(run.pending) > maxEventBytes {
 		stream.endReason, stream.endErr = "event-too-large", nil
