After a quarantine one request is tried in the fleet

When a quarantine ended, each instance let requests run until one of them had crashed a target and the others knew, so that callers lost up to a target at each instance, and the answers of all who were served there. One instance, by rendezvous hashing anew every 10 s, now lets one request run at a time.

TestOneTrialAfterQuarantine counts 2 trials in 15 minutes; with each instance as its own owner it fails.

--- a/internal/coordination/crash/crash.go
+++ b/internal/coordination/crash/crash.go
@@ -53,21 +53,31 @@
 }
 
 // WithQuarantine sets how long after its last crash a request is refused, 10 minutes
-// by default. Then it may run again; one crash more suffices to refuse it again.
+// by default. Then it gets a trial; one crash more suffices to refuse it again.
 func WithQuarantine(length time.Duration) Option {
 	return func(tracker *Tracker) { tracker.quarantine = length }
 }
 
+// WithInstances sets the name of this instance and the function that returns the names of
+// the live ones, one of which makes a trial after a quarantine. By default there is no
+// other instance.
+func WithInstances(self string, instances func() []string) Option {
+	return func(tracker *Tracker) { tracker.self, tracker.instances = self, instances }
+}
+
 // Tracker attributes crashes of targets to requests. It is safe for concurrent use.
 // Looking up a request takes no lock.
 type Tracker struct {
 	logger     zerolog.Logger
 	threshold  int
 	quarantine time.Duration
+	self       string
+	instances  func() []string
 
 	beliefs           atomic.Pointer[beliefs] // replaced as a whole
 	completedRequests completedSet
 	completedParts    completedSet
+	trials            sync.Map     // fingerprints of features of which a request is on trial
 	news              atomic.Int32 // reports that are to go to all instances at once
 
 	mutex      sync.Mutex // held while the fields below and suspects change
@@ -108,7 +118,8 @@
 func New(opts ...Option) *Tracker {
 	tracker := &Tracker{
 		logger: zerolog.Nop(), threshold: defaultThreshold, quarantine: defaultQuarantine,
-		listed: map[targetRun]listedTarget{}, crashed: map[targetRun]time.Time{}, checkedAt: map[targetRun]time.Time{},
+		instances: func() []string { return nil },
+		listed:    map[targetRun]listedTarget{}, crashed: map[targetRun]time.Time{}, checkedAt: map[targetRun]time.Time{},
 	}
 	tracker.beliefs.Store(&beliefs{suspects: map[Fingerprint]knownSuspect{}})
 	for _, opt := range opts {
@@ -117,27 +128,6 @@
 	return tracker
 }
 
-// Quarantine states for how long requests with a feature must not run.
-type Quarantine struct {
-	Feature   Feature
-	Remaining time.Duration
-}
-
-// Quarantined returns the longest quarantine of some features, and whether there is one.
-func (tracker *Tracker) Quarantined(features []Feature) (longest Quarantine, quarantined bool) {
-	beliefs := tracker.beliefs.Load()
-	for _, feature := range features {
-		if _, convicted := beliefs.convicted[feature.Fingerprint]; !convicted {
-			continue
-		}
-		suspect := beliefs.suspects[feature.Fingerprint]
-		if remaining := tracker.quarantine - time.Since(suspect.changedAt); remaining > longest.Remaining {
-			longest = Quarantine{feature, remaining}
-		}
-	}
-	return longest, longest.Remaining > 0
-}
-
 // Run is one run of a request at a target.
 type Run struct {
 	tracker  *Tracker
--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -39,7 +39,9 @@
 }
 
 func isQuarantined(tracker *crash.Tracker, fingerprint crash.Fingerprint) bool {
-	_, quarantined := tracker.Quarantined(features(fingerprint))
+	admission := tracker.Admit(features(fingerprint))
+	defer admission.Release()
+	_, quarantined := admission.Quarantined()
 	return quarantined
 }
 
@@ -61,7 +63,7 @@
 			loseRun(tracker, fingerprint, i)
 			time.Sleep(time.Second)
 		}
-		if quarantine, ok := tracker.Quarantined(features(fingerprint)); !ok || quarantine.Remaining != 10*time.Minute-time.Second {
+		if quarantine, ok := tracker.Admit(features(fingerprint)).Quarantined(); !ok || quarantine.Remaining != 10*time.Minute-time.Second {
 			t.Errorf("Quarantined() = %+v, %t, want 9m59s, true", quarantine, ok)
 		}
 		time.Sleep(10 * time.Minute)
@@ -75,6 +77,71 @@
 	})
 }
 
+// Guards against losing a target at each instance when a quarantine ends, and against a
+// request that stays refused although it crashes no targets any more.
+func TestOneTrialAfterQuarantine(t *testing.T) {
+	tests := map[string]struct {
+		end  func(tracker *crash.Tracker, run *crash.Run)
+		want int // trials in the 15 minutes after the quarantine, -1 for any number
+	}{
+		"crashes again": {func(tracker *crash.Tracker, run *crash.Run) {
+			if run.End(crash.Lost) {
+				tracker.RecordRefused(run.Target())
+			}
+		}, 2}, // one after 10 minutes, one after 20
+		"completes": {func(_ *crash.Tracker, run *crash.Run) { run.End(crash.Completed) }, -1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				names := []string{"a", "b", "c", "d", "e", "f"}
+				var instances []*crash.Tracker
+				for _, name := range names {
+					instances = append(instances, newTracker(60, crash.WithInstances(name, func() []string { return names })))
+				}
+				exchange := func() {
+					for _, from := range instances {
+						for _, to := range instances {
+							to.Merge("peer", from.Report())
+						}
+					}
+				}
+				for i := range 3 {
+					loseRun(instances[0], fingerprint, i)
+				}
+				exchange()
+				time.Sleep(10 * time.Minute)
+				trials, refused := 0, 0
+				for i := range 15 * 60 {
+					var admissions []*crash.Admission
+					for _, tracker := range instances {
+						for range 2 {
+							admissions = append(admissions, tracker.Admit(features(fingerprint)))
+						}
+					}
+					for j, admission := range admissions {
+						if _, quarantined := admission.Quarantined(); quarantined {
+							refused++
+						} else {
+							trials++
+							test.end(instances[j/2], instances[j/2].Begin(features(fingerprint), target(3+i%50)))
+						}
+						admission.Release()
+					}
+					time.Sleep(time.Second)
+					exchange()
+				}
+				if test.want >= 0 && trials != test.want {
+					t.Errorf("trials in 15 minutes = %d, want %d", trials, test.want)
+				}
+				if test.want < 0 && refused > 12*10 {
+					t.Errorf("requests refused after the quarantine = %d, want those of some seconds", refused)
+				}
+			})
+		})
+	}
+}
+
 // Guards against blaming requests for ends of connections and of targets that have
 // other causes.
 func TestOnlyCrashesCount(t *testing.T) {
--- a/internal/coordination/crash/verdict_test.go
+++ b/internal/coordination/crash/verdict_test.go
@@ -65,7 +65,7 @@
 func (engines *engines) expect(when string, quarantined map[string]bool) {
 	engines.t.Helper()
 	for part, want := range quarantined {
-		if _, got := engines.tracker.Quarantined(engines.prompt(part)); got != want {
+		if _, got := engines.tracker.Admit(engines.prompt(part)).Quarantined(); got != want {
 			engines.t.Errorf("%s: part %q is in quarantine: %t, want %t", when, part, got, want)
 		}
 	}
@@ -109,7 +109,7 @@
 			}
 			engines.crash(engines.prompt("other", "deadly"))
 			engines.expect("after 4 crashes", map[string]bool{"first": false, "deadly": true})
-			if _, quarantined := engines.tracker.Quarantined(engines.repeat(again, "last")); quarantined {
+			if _, quarantined := engines.tracker.Admit(engines.repeat(again, "last")).Quarantined(); quarantined {
 				engines.t.Error("a sound request is in quarantine after 4 crashes")
 			}
 		},
@@ -119,7 +119,7 @@
 				engines.crash(engines.repeat(again, "first", "second", "last"))
 			}
 			engines.expect("after 3 crashes", map[string]bool{"first": false, "second": false})
-			if _, quarantined := engines.tracker.Quarantined(engines.repeat(again, "last")); !quarantined {
+			if _, quarantined := engines.tracker.Admit(engines.repeat(again, "last")).Quarantined(); !quarantined {
 				engines.t.Error("the request is not in quarantine after 3 crashes")
 			}
 		},
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -173,7 +173,7 @@
 		mesh.Member{Instance: settings.Instance, DataCenter: settings.DataCenter},
 		mesh.Callbacks{Compose: node.composeHeartbeat, Receive: node.receiveHeartbeat, MemberDown: node.forgetMember}, logger)
 	node.reach = reach.New(reach.WithLogger(logger))
-	node.crashes = crash.New(crash.WithLogger(logger))
+	node.crashes = crash.New(crash.WithLogger(logger), crash.WithInstances(settings.Instance, node.mesh.LiveNames))
 	node.detours = newDetours(node.mesh)
 	node.proxy = proxy.New(codec, node.client, node.scheduler, node.health, node,
 		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
--- a/internal/transport/proxy/crash.go
+++ b/internal/transport/proxy/crash.go
@@ -26,7 +26,7 @@
 
 // isQuarantined reports whether the request must not run, see quarantineError.
 func (exchange *exchange) isQuarantined() bool {
-	_, quarantined := exchange.proxy.crashes.Quarantined(exchange.features.all)
+	_, quarantined := exchange.admission.Quarantined()
 	return quarantined
 }
 
@@ -35,7 +35,7 @@
 // other. Its retry delay is the rest of the
 // quarantine.
 func (exchange *exchange) quarantineError() error {
-	quarantine, quarantined := exchange.proxy.crashes.Quarantined(exchange.features.all)
+	quarantine, quarantined := exchange.admission.Quarantined()
 	if !quarantined {
 		return nil
 	}
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -36,6 +36,7 @@
 	service  site.Service
 
 	features      requestFeatures
+	admission     *crash.Admission
 	reservedBytes atomic.Int64  // of the response memory
 	arrivals      atomic.Int64  // calls that may have reached a target, here or from another instance
 	spentRetries  int64         // taken from the retry budget
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -185,6 +185,8 @@
 	defer cancel()
 	defer context.AfterFunc(exchange.proxy.ended, cancel)()
 	exchange.features = newRequestFeatures(exchange.team.Name, exchange.request)
+	exchange.admission = exchange.proxy.crashes.Admit(exchange.features.all)
+	defer exchange.admission.Release()
 	if err := exchange.quarantineError(); err != nil {
 		exchange.refuse(err)
 		return
