Reports hold all quarantines, and nothing that these explain

A report begins with all suspects in quarantine; older ones whose crashes those explain are left out, recent ones are told in the same report.

TestFirstReportConvictsTheSame failed before in 5 of 50 attempts.

--- a/internal/coordination/crash/crash_test.go
+++ b/internal/coordination/crash/crash_test.go
@@ -465,3 +465,29 @@
 		}
 	})
 }
+
+// Guards against an instance that has just started and refuses sound requests, or lets
+// those run that crash their targets: it is told of suspects without those that explain
+// their crashes.
+func TestFirstReportConvictsTheSame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for attempt := range 50 {
+			engines := newEngines(t)
+			again := &site.Request{Method: "POST", Path: "/ask/again"}
+			for range 3 {
+				engines.crash(engines.repeat(again, "other", "last"), engines.prompt("first", "deadly"))
+			}
+			engines.crash(engines.prompt("first", "deadly"))
+			for i := range 60 {
+				loseRun(engines.tracker, crash.Fingerprint(1000+i), 50+i%8)
+			}
+			time.Sleep(time.Minute)
+			newcomer := newEngines(t)
+			newcomer.tracker.Merge("peer", engines.tracker.Report())
+			newcomer.expect(fmt.Sprint("attempt ", attempt), map[string]bool{"deadly": true, "first": false, "other": false})
+			if _, quarantined := newcomer.tracker.Admit(newcomer.repeat(again, "last")).Quarantined(); quarantined {
+				t.Errorf("attempt %d: a sound request is in quarantine", attempt)
+			}
+		}
+	})
+}
--- a/internal/coordination/crash/share.go
+++ b/internal/coordination/crash/share.go
@@ -43,9 +43,9 @@
 	// reportedFor is how long a change is in each report. All instances get a
 	// report within that time, and several in most cases.
 	reportedFor = 15 * time.Second
-	// maxReported and maxRepeated bound one report: the changes of the last
-	// reportedFor, and a random choice of the older suspects, from which an instance
-	// that has just started learns of them.
+	// maxReported and maxRepeated bound one report: the suspects in quarantine and the
+	// changes of the last reportedFor, and a random choice of the older suspects, from
+	// which an instance that has just started learns of them.
 	maxReported = 48
 	maxRepeated = 8
 	// ageTolerance is by how much a change of another instance has to be newer to
@@ -71,22 +71,28 @@
 
 // Report returns the suspects to send to other instances.
 func (tracker *Tracker) Report() []Suspect {
-	suspects := tracker.beliefs.Load().suspects
-	if len(suspects) == 0 {
+	beliefs := tracker.beliefs.Load()
+	if len(beliefs.suspects) == 0 {
 		return nil
 	}
 	now := time.Now()
-	var recent, older []knownSuspect
-	for _, suspect := range suspects {
-		if now.Sub(suspect.changedAt) < reportedFor {
+	var convicted, recent, older []knownSuspect
+	for fingerprint, suspect := range beliefs.suspects {
+		_, isConvicted := beliefs.convicted[fingerprint]
+		switch {
+		case isConvicted:
+			convicted = append(convicted, suspect)
+		case now.Sub(suspect.changedAt) < reportedFor:
 			recent = append(recent, suspect)
-		} else {
+		case !tracker.hasEnoughCrashes(suspect.Suspect): // others are explained by those that were convicted
 			older = append(older, suspect)
 		}
 	}
+	slices.SortFunc(convicted, compareUrgency)
 	slices.SortFunc(recent, compareUrgency)
 	rand.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
-	reported := slices.Concat(recent[:min(len(recent), maxReported)], older[:min(len(older), maxRepeated)])
+	urgent := slices.Concat(convicted, recent)
+	reported := slices.Concat(urgent[:min(len(urgent), maxReported)], older[:min(len(older), maxRepeated)])
 	report := make([]Suspect, 0, len(reported))
 	for _, suspect := range reported {
 		suspect.AgeMS = max(0, now.Sub(suspect.changedAt).Milliseconds())
