Soak: parts of prompts that crash engines, and sound prompts beside them

After its other faults each run sends 12 prompts, no two alike, with a part that crashes engines, and 24 sound ones that share their first part.

--- a/internal/transport/node/soak_budget_test.go
+++ b/internal/transport/node/soak_budget_test.go
@@ -28,6 +28,10 @@
 	// crashed under it crashThreshold times.
 	maxCrashingRetries = 3
 	crashThreshold     = 3
+	// partCrashThreshold is the number of crashes after which prompts with a part that
+	// crashes engines may reach them maxCrashingRetries times more.
+	partCrashThreshold = 5
+	deadlyPart         = "dead"
 )
 
 // askForPauses has targets ask for pauses while callers go on and no instance is
@@ -70,6 +74,37 @@
 	}
 }
 
+// sendDeadlyPrompts sends prompts, no two alike, with a part that crashes the engines
+// that decode it to all instances by turns, and two sound ones after each, which share
+// their first part with it.
+func (soak *soak) sendDeadlyPrompts() {
+	time.Sleep(contactTime)
+	before := soak.targets.crashCount()
+	const rounds = 4 * soakInstances
+	sound, answered := 0, 0 // in the second half
+	for i := range rounds {
+		soak.sendPrompt(soak.instances[i%soakInstances], "/resume/", fmt.Sprint("deadly-", i), fmt.Sprint("deadly-", i), fmt.Sprintf("f1:800,%s:165,%x:250", deadlyPart, 4096+i))
+		time.Sleep(soakRestartTime / 2)
+		for j := 1; j < soakInstances; j++ {
+			id := fmt.Sprintf("sound-%d-%d", i, j)
+			status, _ := soak.sendPrompt(soak.instances[(i+j)%soakInstances], "/resume/", id, id, fmt.Sprintf("f1:800,%x:165,%x:250", 8192+i%2, 16384+2*i+j))
+			if i < rounds/2 {
+				continue
+			}
+			sound++
+			if status == http.StatusOK {
+				answered++
+			}
+		}
+	}
+	if count := soak.targets.crashCount() - before; count > partCrashThreshold+maxCrashingRetries {
+		soak.t.Errorf("engines that crashed under one part of prompts = %d, want at most %d", count, partCrashThreshold+maxCrashingRetries)
+	}
+	if 2*answered < sound {
+		soak.t.Errorf("sound prompts beside deadly ones that were answered = %d of %d, want at least half", answered, sound)
+	}
+}
+
 // checkBudget checks what targets saw against the rules on repeats. It leaves out the
 // requests that crash targets, which have a rule of their own.
 func (targets *soakTargets) checkBudget() {
--- a/internal/transport/node/soak_target_test.go
+++ b/internal/transport/node/soak_target_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,7 +63,7 @@
 	deadline                           time.Duration // until the caller's deadline, 0 if the target was told none
 	prefilled                          bool          // a prefill that the target accepted
 	run                                bool          // the target began to run the request
-	crashing                           bool
+	crashing                           bool          // the target that runs the request crashes
 }
 
 // soakPauseAsked is a pause that a target asked for.
@@ -214,7 +215,8 @@
 		return
 	}
 	arrival := soakArrival{
-		service: target.service, target: target.id, attempt: r.Header.Get("Attempt-Id"), at: time.Now(), crashing: string(body) == crashingBody,
+		service: target.service, target: target.id, attempt: r.Header.Get("Attempt-Id"), at: time.Now(),
+		crashing: string(body) == crashingBody || strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart),
 	}
 	if milliseconds, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
 		arrival.deadline = time.Duration(milliseconds) * time.Millisecond
--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -161,6 +161,7 @@
 	callers.Wait()
 	soak.sendToSilentTargets()
 	soak.sendCrashingRequests()
+	soak.sendDeadlyPrompts()
 	soak.check()
 	soak.targets.checkBudget()
 }
@@ -355,6 +356,11 @@
 }
 
 func (soak *soak) sendBody(instance *soakInstance, path, id, body string) (int, string) {
+	return soak.sendPrompt(instance, path, id, body, "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+}
+
+// sendPrompt sends a request. On the path of streams its prompt has some parts.
+func (soak *soak) sendPrompt(instance *soakInstance, path, id, body, parts string) (int, string) {
 	request, err := http.NewRequestWithContext(soak.t.Context(), http.MethodPost, "http://"+instance.front+path, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
@@ -366,7 +372,7 @@
 	if path == "/resume/" {
 		request.Header.Set("Model", "m")
 		request.Header.Set("Token-Count", "1460,80")
-		request.Header.Set("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+		request.Header.Set("Prompt-Prefix", parts)
 	}
 	soak.targets.addRequest(instance.name, path, id)
 	request.Header.Set("Authorization", "Bearer "+key)
