Changes of stages are told to all instances twice, not in each round

While a change of stages is pending, 15 s and more, the holder of the lease sent each round of heartbeats to all instances: 1.4 MB a second on the link of a weak instance that carries 1.25. All that it sent and received waited there. Ruled out: the payload of a burst (three times the callers of that data centre, nothing late). A change now goes to all in two rounds, since a datagram may get lost, and then with the heartbeats whose turn it is.

--- a/internal/transport/node/export_test.go
+++ b/internal/transport/node/export_test.go
@@ -1,6 +1,18 @@
 package node
 
-import "github.com/fxamacker/cbor/v2"
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Announcements keeps how often pending changes of stages were told.
+type Announcements struct{ announcements }
+
+// Next returns whether the next round has to go to all instances.
+func (announcements *Announcements) Next(pending map[string]time.Duration) bool {
+	return announcements.next(pending)
+}
 
 // MinDrainTime is the time that a stopping instance keeps serving.
 const MinDrainTime = minDrainTime
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -71,7 +71,7 @@
 		node.scheduler.EndReportRound()
 	}
 	changing := node.duties.PendingStageChanges()
-	if len(changing) > 0 {
+	if rounds == 1 && node.announcements.next(changing) {
 		node.mesh.BroadcastNext()
 	}
 	for id, remaining := range changing {
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -145,6 +145,7 @@
 	cancel         context.CancelFunc
 	loopsDone      []<-chan struct{}
 	leaseDone      <-chan error
+	announcements  announcements     // used on the goroutine that composes heartbeats
 	newerManifests chan peerManifest // manifests of peers that are newer than the one in force
 }
 
