A call whose caller has left is not sent any more

What the kernel had buffered of a call went out after its connection was closed, and the target ran the call of a caller that had left. A connection that is closed while a call has no answer is reset.

--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -136,7 +136,7 @@
 	for _, opt := range opts {
 		opt(client)
 	}
-	client.unpooled = &http.Transport{DialContext: client.dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	client.unpooled = &http.Transport{DialContext: client.dialTarget, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return client
 }
 
--- a/internal/transport/back/pool.go
+++ b/internal/transport/back/pool.go
@@ -14,7 +14,7 @@
 
 func (client *Client) newPool(now time.Duration) *pool {
 	created := &pool{transport: &http.Transport{
-		DialContext:            client.dialer.DialContext,
+		DialContext:            client.dialTarget,
 		MaxIdleConnsPerHost:    maxIdleConnsPerTarget,
 		IdleConnTimeout:        client.idleTimeout,
 		DisableCompression:     true,
