Soak: links between instances and targets that fail in six ways

Each instance reaches the targets by links of its own, of which a random part hangs, is reset, refuses new connections, delays bytes, passes nothing back, or forgets the open connections while new ones work, beside the other faults.

--- a/internal/transport/node/link_test.go
+++ b/internal/transport/node/link_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,8 +18,15 @@
 	linkHangs   linkFault = iota // nothing passes, and new connections get no answer
 	linkResets                   // connections are reset and refused
 	linkRefuses                  // connections live on, new ones are refused
+	linkDelays                   // bytes arrive late, in both directions
+	linkMutes                    // nothing comes back from the target
+	linkForgets                  // connections that are open go silent for good, new ones work
+	linkFaults                   // number of faults
 )
 
+// linkDelay is how late bytes arrive on a link that delays them.
+const linkDelay = 150 * time.Millisecond
+
 // link forwards TCP connections from one instance to one target, and can be cut.
 type link struct {
 	t       *testing.T
@@ -31,13 +39,17 @@
 	fillers  []net.Conn   // fill that queue
 	conns    map[net.Conn]bool
 	silent   chan struct{} // closed while bytes pass; replaced while they do not
+	muted    chan struct{} // the same for bytes from the target
+	delay    atomic.Int64  // of bytes, in nanoseconds
+	forgot   int           // how often the open connections went silent for good
 }
 
 // newLink returns a link to the target at the given address, on any free port.
 func newLink(t *testing.T, target string) *link {
 	t.Helper()
-	link := &link{t: t, target: target, backlog: -1, conns: map[net.Conn]bool{}, silent: make(chan struct{})}
+	link := &link{t: t, target: target, backlog: -1, conns: map[net.Conn]bool{}, silent: make(chan struct{}), muted: make(chan struct{})}
 	close(link.silent)
+	close(link.muted)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -63,21 +75,32 @@
 		link.mutex.Lock()
 		link.conns[conn], link.conns[target] = true, true
 		link.mutex.Unlock()
-		go link.copy(conn, target)
-		go link.copy(target, conn)
+		link.mutex.Lock()
+		forgot := link.forgot
+		link.mutex.Unlock()
+		go link.copy(conn, target, forgot, true)
+		go link.copy(target, conn, forgot, false)
 	}
 }
 
-// copy forwards the bytes of one direction until either end closes.
-func (link *link) copy(dst, src net.Conn) {
+// copy forwards the bytes of one direction until either end closes. Forgot is how often
+// open connections had gone silent before this one was made.
+func (link *link) copy(dst, src net.Conn, forgot int, fromTarget bool) {
 	defer func() { _ = dst.Close() }()
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := src.Read(buffer)
+		time.Sleep(time.Duration(link.delay.Load()))
 		link.mutex.Lock()
-		silent := link.silent
+		silent, muted, forgotten := link.silent, link.muted, link.forgot > forgot
 		link.mutex.Unlock()
 		<-silent
+		if fromTarget {
+			<-muted
+		}
+		if forgotten && err == nil {
+			continue
+		}
 		if count > 0 {
 			if _, err := dst.Write(buffer[:count]); err != nil {
 				return
@@ -93,6 +116,17 @@
 func (link *link) cut(fault linkFault) {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
+	switch fault {
+	case linkDelays:
+		link.delay.Store(int64(linkDelay))
+		return
+	case linkMutes:
+		link.muted = make(chan struct{})
+		return
+	case linkForgets:
+		link.forgot++
+		return
+	}
 	_ = link.listener.Close()
 	link.listener = nil
 	switch fault {
@@ -139,6 +173,12 @@
 func (link *link) heal() {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
+	link.delay.Store(0)
+	select {
+	case <-link.muted:
+	default:
+		close(link.muted)
+	}
 	if link.listener != nil {
 		return
 	}
@@ -178,9 +218,11 @@
 	for conn := range link.conns {
 		_ = conn.Close()
 	}
-	select {
-	case <-link.silent:
-	default:
-		close(link.silent)
+	for _, passing := range []chan struct{}{link.silent, link.muted} {
+		select {
+		case <-passing:
+		default:
+			close(passing)
+		}
 	}
 }
--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -109,6 +109,7 @@
 	name, ip, front, settings string
 
 	storeEndpoint *endpoint
+	links         *soakLinks
 	faulty        atomic.Bool // a fault is being injected
 	mutex         sync.Mutex
 	program       string
@@ -170,6 +171,8 @@
 func (soak *soak) addInstance(i, firstInternalPort int, control string) {
 	t := soak.t
 	instance := &soakInstance{program: soak.programs[len(soak.programs)-1], name: fmt.Sprintf("front-%d", i), ip: fmt.Sprintf("127.0.3.%d", i+1), storeEndpoint: soak.store.endpoint(t)}
+	instance.links = newSoakLinks(t)
+	instance.storeEndpoint.targets = instance.links.address
 	instance.front = fmt.Sprintf("%s:%d", instance.ip, freePort(t))
 	instance.settings = filepath.Join(t.TempDir(), "local.toml")
 	text := fmt.Sprintf(`Node = %q
@@ -283,6 +286,7 @@
 		instance := soak.instances[soak.random.IntN(len(soak.instances))]
 		targetFault := 1 + soak.random.Int32N(targetFaults)
 		duration := time.Duration(200+soak.random.IntN(1500)) * time.Millisecond
+		linkFault, linkSeed := linkFault(soak.random.IntN(int(linkFaults))), soak.random.Uint64()
 		faults := []func(){
 			func() { soak.restart(instance, syscall.SIGKILL) },
 			func() { soak.restart(instance, syscall.SIGTERM) },
@@ -303,6 +307,10 @@
 				soak.targets.fault.Store(0)
 			},
 			func() { soak.signal(instance, syscall.SIGHUP) },
+			func() {
+				defer soak.targets.excuse(instance.name)()
+				instance.links.disturb(rand.New(rand.NewPCG(linkSeed, linkSeed)), linkFault, duration)
+			},
 		}
 		if len(soak.programs) > 1 {
 			faults = append(faults, func() { soak.changeBuild(instance) }, func() { soak.changeBuild(instance) })
--- a/internal/transport/node/store_test.go
+++ b/internal/transport/node/store_test.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -41,8 +42,9 @@
 // endpoint is one address of the store, which can stop responding.
 type endpoint struct {
 	store   *fakeStore
-	hangs   atomic.Bool   // requests get no response
-	closed  chan struct{} // ends the requests that hang
+	hangs   atomic.Bool                 // requests get no response
+	targets func(address string) string // maps the address of a target to that of its link, nil for none
+	closed  chan struct{}               // ends the requests that hang
 	address string
 }
 
@@ -66,7 +68,7 @@
 	}
 	switch r.URL.Path {
 	case "/v1/rows-get":
-		endpoint.store.get(w, r)
+		endpoint.store.get(w, r, endpoint)
 	case "/v1/rows-feed":
 		endpoint.store.feed(w, r, endpoint)
 	case "/v1/rows-tx":
@@ -76,6 +78,28 @@
 	}
 }
 
+// rewrite returns rows with the addresses of links in place of those of targets.
+func (endpoint *endpoint) rewrite(rows []storedRow) []storedRow {
+	if endpoint.targets == nil {
+		return rows
+	}
+	rewritten := slices.Clone(rows)
+	for i, row := range rewritten {
+		var fields map[string]any
+		value, err := base64.StdEncoding.DecodeString(row.Value)
+		if row.Table != "servers" || row.Deleted || err != nil || json.Unmarshal(value, &fields) != nil {
+			continue
+		}
+		if address, ok := fields["Address"].(string); ok {
+			fields["Address"] = endpoint.targets(address)
+		}
+		if value, err = json.Marshal(fields); err == nil {
+			rewritten[i].Value = base64.StdEncoding.EncodeToString(value)
+		}
+	}
+	return rewritten
+}
+
 func (store *fakeStore) respond(w http.ResponseWriter, rows []storedRow) {
 	data, err := json.Marshal(map[string]any{
 		"Rows": rows, "MorePages": false, "RowVersion": store.version, "NowMs": time.Since(store.started).Milliseconds(),
@@ -86,7 +110,7 @@
 	_, _ = w.Write(data)
 }
 
-func (store *fakeStore) get(w http.ResponseWriter, r *http.Request) {
+func (store *fakeStore) get(w http.ResponseWriter, r *http.Request, endpoint *endpoint) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	query := r.URL.Query()
@@ -97,7 +121,7 @@
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	store.respond(w, rows)
+	store.respond(w, endpoint.rewrite(rows))
 }
 
 func (store *fakeStore) feed(w http.ResponseWriter, r *http.Request, endpoint *endpoint) {
@@ -136,7 +160,7 @@
 	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	store.respond(w, rows)
+	store.respond(w, endpoint.rewrite(rows))
 }
 
 func (store *fakeStore) transact(w http.ResponseWriter, r *http.Request) {
