Soak: callers that leave, keys, teams, targets and services

Callers leave, also before a silent engine's stream is repeated: at most 5 of their requests may reach targets half a second after that. Targets check that requests come without the caller's key, for its team and service, and name them; those for another target get 421, as on the platform.

--- a/internal/transport/node/soak_budget_test.go
+++ b/internal/transport/node/soak_budget_test.go
@@ -32,6 +32,10 @@
 	// crashes engines may reach them maxCrashingRetries times more.
 	partCrashThreshold = 5
 	deadlyPart         = "dead"
+	// maxAfterLeave is how many requests may reach targets later than leaveSlack after
+	// their callers have left.
+	maxAfterLeave = 5
+	leaveSlack    = 500 * time.Millisecond
 )
 
 // askForPauses has targets ask for pauses while callers go on and no instance is
@@ -45,7 +49,7 @@
 }
 
 // sendToSilentTargets sends streams while targets withhold responses, so that many are
-// repeated late.
+// repeated late. Some callers leave before that.
 func (soak *soak) sendToSilentTargets() {
 	const count = 120
 	soak.targets.fault.Store(3)
@@ -53,6 +57,9 @@
 	var group sync.WaitGroup
 	for i := range count {
 		group.Go(func() { soak.send(soak.instances[i%soakInstances], "/resume/", fmt.Sprint("silent-", i)) })
+		group.Go(func() {
+			soak.leave(soak.instances[i%soakInstances], "/resume/", fmt.Sprint("left-", i), soakDeadline/3)
+		})
 	}
 	group.Wait()
 }
@@ -83,11 +90,11 @@
 	const rounds = 4 * soakInstances
 	sound, answered := 0, 0 // in the second half
 	for i := range rounds {
-		soak.sendPrompt(soak.instances[i%soakInstances], "/resume/", fmt.Sprint("deadly-", i), fmt.Sprint("deadly-", i), fmt.Sprintf("f1:800,%s:165,%x:250", deadlyPart, 4096+i))
+		soak.sendPrompt(soak.t.Context(), soak.instances[i%soakInstances], "/resume/", fmt.Sprint("deadly-", i), fmt.Sprint("deadly-", i), fmt.Sprintf("f1:800,%s:165,%x:250", deadlyPart, 4096+i))
 		time.Sleep(soakRestartTime / 2)
 		for j := 1; j < soakInstances; j++ {
 			id := fmt.Sprintf("sound-%d-%d", i, j)
-			status, _ := soak.sendPrompt(soak.instances[(i+j)%soakInstances], "/resume/", id, id, fmt.Sprintf("f1:800,%x:165,%x:250", 8192+i%2, 16384+2*i+j))
+			status, _ := soak.sendPrompt(soak.t.Context(), soak.instances[(i+j)%soakInstances], "/resume/", id, id, fmt.Sprintf("f1:800,%x:165,%x:250", 8192+i%2, 16384+2*i+j))
 			if i < rounds/2 {
 				continue
 			}
@@ -124,6 +131,28 @@
 	}
 }
 
+// checkLeft checks that requests reach no targets after their callers have left.
+func (targets *soakTargets) checkLeft() {
+	targets.mutex.Lock()
+	defer targets.mutex.Unlock()
+	late, left := 0, 0
+	for _, request := range targets.requests {
+		if !request.leftAt.IsZero() {
+			left++
+		}
+	}
+	for _, arrival := range targets.arrivals {
+		request := targets.requests[arrival.attempt]
+		if !request.leftAt.IsZero() && arrival.at.Sub(request.leftAt) > leaveSlack && !targets.isExcused(request.instance, request.leftAt.Add(-leaveSlack), arrival.at) {
+			late++
+		}
+	}
+	targets.t.Logf("%d callers left, %d of their requests reached a target %v or more after that", left, late, leaveSlack)
+	if late > maxAfterLeave {
+		targets.t.Errorf("requests that reached targets %v or more after their callers had left = %d of %d, want at most %d", leaveSlack, late, left, maxAfterLeave)
+	}
+}
+
 // checkRuns checks that attempts run at no more targets than their routes allow.
 func (targets *soakTargets) checkRuns(attempts map[string][]soakArrival) {
 	exceeding := 0
--- a/internal/transport/node/soak_target_test.go
+++ b/internal/transport/node/soak_target_test.go
@@ -48,6 +48,7 @@
 type soakRequest struct {
 	service, instance string
 	at                time.Time
+	leftAt            time.Time // when the caller left, zero if it waited for the answer
 }
 
 // soakExcuse is a time in which an instance was stopped, paused or restarted.
@@ -106,7 +107,16 @@
 func (targets *soakTargets) addRequest(instance, path, attempt string) {
 	targets.mutex.Lock()
 	defer targets.mutex.Unlock()
-	targets.requests[attempt] = soakRequest{soakService(path), instance, time.Now()}
+	targets.requests[attempt] = soakRequest{service: soakService(path), instance: instance, at: time.Now()}
+}
+
+// leave keeps that the caller of a request has left.
+func (targets *soakTargets) leave(attempt string) {
+	targets.mutex.Lock()
+	defer targets.mutex.Unlock()
+	request := targets.requests[attempt]
+	request.leftAt = time.Now()
+	targets.requests[attempt] = request
 }
 
 // excuse keeps that an instance is stopped, paused or restarted from now until the
@@ -218,6 +228,12 @@
 		service: target.service, target: target.id, attempt: r.Header.Get("Attempt-Id"), at: time.Now(),
 		crashing: string(body) == crashingBody || strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart),
 	}
+	target.checkHeader(r)
+	if r.Header.Get("Target-Instance") != target.id { // it is for the target that had the address before
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if milliseconds, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
 		arrival.deadline = time.Duration(milliseconds) * time.Millisecond
 	}
@@ -249,6 +265,21 @@
 	}
 }
 
+// checkHeader checks that a request has come to a target of its service, for the team of
+// its key and without that key.
+func (target *soakTarget) checkHeader(r *http.Request) {
+	switch {
+	case r.Header.Get("Authorization") != "":
+		target.targets.t.Errorf("request %s reached a target with the key of its caller", r.Header.Get("Attempt-Id"))
+	case r.Header.Get("Tenant") != "press":
+		target.targets.t.Errorf("request %s reached a target for team %q, want press", r.Header.Get("Attempt-Id"), r.Header.Get("Tenant"))
+	case soakService(r.URL.Path) != target.service:
+		target.targets.t.Errorf("request for %s reached a target of %s", r.URL.Path, target.service)
+	case r.Header.Get("Target-Instance") == "":
+		target.targets.t.Errorf("request %s names no target", r.Header.Get("Attempt-Id"))
+	}
+}
+
 func (target *soakTarget) answer(w http.ResponseWriter, r *http.Request, arrival soakArrival, fault int32) {
 	w.Header().Set("Response-Signature", "s")
 	switch target.stage {
--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -165,6 +166,7 @@
 	soak.sendDeadlyPrompts()
 	soak.check()
 	soak.targets.checkBudget()
+	soak.targets.checkLeft()
 }
 
 // addInstance writes the settings of an instance and opens its log.
@@ -344,6 +346,10 @@
 		instance := soak.instances[(caller+i)%len(soak.instances)]
 		id := fmt.Sprintf("%d-%d", caller, i)
 		path := []string{"/book/", "/read/", "/book/", "/resume/"}[i%4]
+		if i%leavingInterval == leavingInterval-1 {
+			soak.leave(instance, path, id, 60*time.Millisecond)
+			continue
+		}
 		status, body := soak.send(instance, path, id)
 		if status == http.StatusOK {
 			soak.served.Add(1)
@@ -363,13 +369,30 @@
 	return soak.sendBody(instance, path, id, id)
 }
 
+// leavingInterval is the number of requests of a caller of which it leaves one before
+// the answer.
+const leavingInterval = 9
+
+// leave sends a request and closes its connection within a time.
+func (soak *soak) leave(instance *soakInstance, path, id string, within time.Duration) {
+	ctx, cancel := context.WithTimeout(soak.t.Context(), time.Duration(1+rand.Int64N(int64(within))))
+	defer cancel()
+	soak.sendPrompt(ctx, instance, path, id, id, soakPrompt)
+	if ctx.Err() != nil {
+		soak.targets.leave(id)
+	}
+}
+
+// soakPrompt holds the parts of a sound prompt.
+const soakPrompt = "5c1e07a2:800,91bd3f06:410,e4402b7d:250"
+
 func (soak *soak) sendBody(instance *soakInstance, path, id, body string) (int, string) {
-	return soak.sendPrompt(instance, path, id, body, "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	return soak.sendPrompt(soak.t.Context(), instance, path, id, body, soakPrompt)
 }
 
 // sendPrompt sends a request. On the path of streams its prompt has some parts.
-func (soak *soak) sendPrompt(instance *soakInstance, path, id, body, parts string) (int, string) {
-	request, err := http.NewRequestWithContext(soak.t.Context(), http.MethodPost, "http://"+instance.front+path, strings.NewReader(body))
+func (soak *soak) sendPrompt(ctx context.Context, instance *soakInstance, path, id, body, parts string) (int, string) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+instance.front+path, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
