--- a/internal/transport/node/soak_target_test.go
+++ b/internal/transport/node/soak_target_test.go
@@ -34,9 +34,12 @@
 	t     *testing.T
 	fault atomic.Int32 // 0 for none
 
+	limited atomic.Pointer[string] // ID of the target that names a limit
+
 	mutex    sync.Mutex
 	store    *fakeStore
-	targets  int // started so far
+	targets  int               // started so far
+	newest   map[string]string // ID of the target that started last, by service
 	crashes  int
 	requests map[string]soakRequest // by attempt
 	excused  []soakExcuse
@@ -74,7 +77,9 @@
 }
 
 func newSoakTargets(t *testing.T) *soakTargets {
-	return &soakTargets{t: t, requests: map[string]soakRequest{}}
+	targets := &soakTargets{t: t, requests: map[string]soakRequest{}, newest: map[string]string{}}
+	targets.limited.Store(new(string))
+	return targets
 }
 
 // soakAnswer returns the body of a target's answer to a request.
@@ -168,6 +173,7 @@
 	targets.mutex.Lock()
 	targets.targets++
 	target := &soakTarget{targets: targets, id: fmt.Sprint("i-", targets.targets), service: service, stage: stage}
+	targets.newest[service] = target.id
 	targets.mutex.Unlock()
 	target.server = httptest.NewUnstartedServer(target)
 	_ = target.server.Listener.Close()
@@ -282,6 +288,9 @@
 
 func (target *soakTarget) answer(w http.ResponseWriter, r *http.Request, arrival soakArrival, fault int32) {
 	w.Header().Set("Response-Signature", "s")
+	if target.id == *target.targets.limited.Load() {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(soakLimit, 'f', -1, 64))
+	}
 	switch target.stage {
 	case "prefill":
 		_, _ = io.WriteString(w, `{"KvHandle":"h1","Tokens":1460,"Version":1}`)
--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -159,6 +159,7 @@
 	}
 	soak.awaitService() // all instances recover
 	soak.askForPauses()
+	soak.nameLimit()
 	close(stop)
 	callers.Wait()
 	soak.sendToSilentTargets()
