--- a/internal/transport/node/link_test.go
+++ b/internal/transport/node/link_test.go
@@ -21,9 +21,11 @@
 	linkDelays                   // bytes arrive late, in both directions
 	linkMutes                    // nothing comes back from the target
 	linkForgets                  // connections that are open go silent for good, new ones work
-	linkFaults                   // number of faults
 )
 
+// linkFaults is the number of faults of links.
+const linkFaults = int(linkForgets) + 1
+
 // linkDelay is how late bytes arrive on a link that delays them.
 const linkDelay = 150 * time.Millisecond
 
@@ -117,32 +119,33 @@
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
 	switch fault {
-	case linkDelays:
-		link.delay.Store(int64(linkDelay))
-		return
-	case linkMutes:
-		link.muted = make(chan struct{})
-		return
-	case linkForgets:
-		link.forgot++
-		return
-	}
-	_ = link.listener.Close()
-	link.listener = nil
-	switch fault {
 	case linkHangs:
+		link.stopListening()
 		link.silent = make(chan struct{})
 		link.fillBacklog()
 	case linkResets:
+		link.stopListening()
 		for conn := range link.conns {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			_ = conn.Close()
 		}
 		link.conns = map[net.Conn]bool{}
 	case linkRefuses:
+		link.stopListening()
+	case linkDelays:
+		link.delay.Store(int64(linkDelay))
+	case linkMutes:
+		link.muted = make(chan struct{})
+	case linkForgets:
+		link.forgot++
 	}
 }
 
+func (link *link) stopListening() {
+	_ = link.listener.Close()
+	link.listener = nil
+}
+
 // fillBacklog listens without accepting. Once the queue of connections is full, the
 // kernel does not answer further ones.
 func (link *link) fillBacklog() {
--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -289,7 +289,7 @@
 		instance := soak.instances[soak.random.IntN(len(soak.instances))]
 		targetFault := 1 + soak.random.Int32N(targetFaults)
 		duration := time.Duration(200+soak.random.IntN(1500)) * time.Millisecond
-		linkFault, linkSeed := linkFault(soak.random.IntN(int(linkFaults))), soak.random.Uint64()
+		linkFault, linkSeed := linkFault(soak.random.IntN(linkFaults)), soak.random.Uint64()
 		faults := []func(){
 			func() { soak.restart(instance, syscall.SIGKILL) },
 			func() { soak.restart(instance, syscall.SIGTERM) },
