--- a/internal/coordination/crash/blame.go
+++ b/internal/coordination/crash/blame.go
@@ -24,7 +24,7 @@
 	return waves >= tracker.threshold || (waves >= minWaves && waves+len(suspect.Concurrent) >= tracker.threshold)
 }
 
-// blame counts the crash of a target against requests.
+// blame counts the crash of a target against the features of runs that ended there.
 func (tracker *Tracker) blame(ended []endedRun, now time.Time) {
 	tracker.update("own run", func(suspects map[Fingerprint]knownSuspect) {
 		for _, run := range ended {
@@ -57,7 +57,7 @@
 	}
 }
 
-// clear removes the crashes that count against a request.
+// clear removes the crashes that count against a feature.
 func (tracker *Tracker) clear(fingerprint Fingerprint) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
--- a/internal/coordination/crash/crash.go
+++ b/internal/coordination/crash/crash.go
@@ -1,14 +1,16 @@
-// Package crash finds requests that crash the targets that run them.
+// Package crash finds requests, and parts of prompts, that crash the targets that run
+// them.
 //
-// A run that ends without a complete answer is only suspicious: connections break
-// for many reasons. It counts against its request once the target is known to have
-// ended without announcing that, since it refuses connections or its entry in the
-// list of targets is gone or shows a later start. A request under which a number of
-// distinct targets ended is quarantined: no instance runs it for some time. A run
-// that completes clears its request.
+// A run has features: its request, and the parts of its prompt. If it ends without a
+// complete answer, that is only suspicious: connections break for many reasons. It
+// counts against its features once the target is known to have ended without announcing
+// that, since it refuses connections or its entry in the list of targets is gone or
+// shows a later start. A run that completes clears its features. Of those under which a
+// number of distinct targets ended, as few as explain the crashes are quarantined: no
+// instance runs requests with such a feature for some time. Then one is tried.
 //
 // Instances exchange their suspects, so that all of them, also one that has just
-// started, refuse the request.
+// started, refuse the same requests.
 package crash
 
 import (
@@ -65,7 +67,7 @@
 	return func(tracker *Tracker) { tracker.self, tracker.instances = self, instances }
 }
 
-// Tracker attributes crashes of targets to requests. It is safe for concurrent use.
+// Tracker attributes crashes of targets to features of requests. It is safe for concurrent use.
 // Looking up a request takes no lock.
 type Tracker struct {
 	logger     zerolog.Logger
--- a/internal/coordination/crash/feature.go
+++ b/internal/coordination/crash/feature.go
@@ -37,8 +37,8 @@
 	return Feature{Fingerprint: poison.NewFingerprint(team, digest.Sum64())}
 }
 
-// PartFeatures returns the features of a prompt: its parts but the last one, which no
-// other prompt shares. The same part counts alike for all teams. Prompt may be nil.
+// PartFeatures returns the features of a prompt: its parts but the last one, which belongs
+// to the request or its session. The same part counts alike for all teams. Prompt may be nil.
 func PartFeatures(prompt *site.Prompt) []Feature {
 	if prompt == nil || len(prompt.Parts) < 2 {
 		return nil
