A stream that sends bytes but no complete events is resumed elsewhere

Cause: each byte of the active run put off the moment at which another engine is asked to resume the stream, so that one which stalls within an event and sends a byte now and then went on until its deadline.

Now only events, an accepted run and a change of runs count as progress.

--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -159,6 +159,7 @@
 		lost = nil
 	}
 	for {
+		fired, before := false, generation.progress()
 		select {
 		case <-lost:
 			lost = nil
@@ -170,6 +171,7 @@
 		case result, ok := <-generation.standbyResults():
 			generation.handleStandby(result, ok)
 		case <-silence.C:
+			fired = true
 			generation.startStandby(ctx)
 		}
 		for generation.standby != nil && generation.standby.hasEvent() {
@@ -184,7 +186,24 @@
 				}
 			}
 		}
-		silence.Reset(stream.silenceTimeout())
+		if fired || generation.progress() != before {
+			silence.Reset(stream.silenceTimeout())
+		}
+	}
+}
+
+// progress is what a generation has achieved. Bytes that complete no event change
+// nothing in it.
+type progress struct {
+	active, standby *decodeRun
+	accepted        bool // the active run was accepted
+	writes          int  // of events
+}
+
+func (generation *generation) progress() progress {
+	return progress{
+		active: generation.active, standby: generation.standby,
+		accepted: generation.active.response != nil, writes: generation.stream.writes,
 	}
 }
 
--- a/internal/transport/proxy/silence_test.go
+++ b/internal/transport/proxy/silence_test.go
@@ -160,3 +160,37 @@
 	harness.startTarget("d1", "llm", site.Decode, func(w http.ResponseWriter, r *http.Request) { sendEvents(w, r, 4) })
 	harness.wantFourEvents(harness.do(harness.newRequest(http.MethodPost, "/ask/x")))
 }
+
+// Guards against a stalled stream that sends a byte now and then: bytes that complete no
+// event are no progress, and another engine resumes the stream.
+func TestStreamWithoutCompleteEventsIsResumed(t *testing.T) {
+	harness := newHarness(t)
+	harness.startTarget("p1", "llm", site.Prefill, respondPrefilled)
+	var runs atomic.Int64
+	decode := func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 1 {
+			sendEvents(w, r, 2)
+			sendBytesSlowly(w, r)
+			return
+		}
+		sendEvents(w, r, 4)
+	}
+	harness.startTarget("d1", "llm", site.Decode, decode)
+	harness.startTarget("d2", "llm", site.Decode, decode)
+	harness.wantFourEvents(harness.do(harness.newRequest(http.MethodPost, "/resume/x")))
+}
+
+// sendBytesSlowly sends an event that is never complete until the caller leaves.
+func sendBytesSlowly(w http.ResponseWriter, r *http.Request) {
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(targetSilence / 15):
+		}
+		if _, err := w.Write([]byte(".")); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush() //nolint:forcetypeassert // of httptest
+	}
+}
