--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"net/netip"
@@ -329,6 +330,17 @@
 		if err != nil {
 			return // closed when sendLoop has ended
 		}
-		mesh.receive(buffer[:count], from)
+		mesh.receiveDatagram(buffer[:count], from)
 	}
 }
+
+// receiveDatagram passes a datagram on. A panic over one datagram costs that datagram
+// only, since every instance that gets the same one would end otherwise.
+func (mesh *Mesh) receiveDatagram(datagram []byte, from netip.AddrPort) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			mesh.logger.Error().Stringer("from", from).Str("cause", fmt.Sprint(cause)).Msg("handler of a datagram panicked; datagram dropped")
+		}
+	}()
+	mesh.receive(datagram, from)
+}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -134,3 +134,28 @@
 		}
 	}
 }
+
+// Guards against a datagram that ends the process: the same one reaches all instances.
+func TestDatagramThatPanicsIsDropped(t *testing.T) {
+	received := make(chan string, 1)
+	instance := start(t, "tas-a", func(datagram []byte, _ netip.AddrPort) {
+		if string(datagram) == "faulty" {
+			panic("cannot be handled")
+		}
+		received <- string(datagram)
+	})
+	conn, address := listen(t)
+	instance.Add(mesh.Member{Instance: "other", DataCenter: "tas-a", Address: address})
+	_, from, err := conn.ReadFromUDPAddrPort(make([]byte, 64))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, datagram := range []string{"faulty", "sound"} {
+		if _, err := conn.WriteToUDPAddrPort([]byte(datagram), from); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := <-received; got != "sound" {
+		t.Errorf("received %q, want %q", got, "sound")
+	}
+}
