--- a/internal/coordination/place/prompt.go
+++ b/internal/coordination/place/prompt.go
@@ -107,8 +107,9 @@
 // flight at its engine: others with a higher priority keep arriving.
 const lateWaitFactor = 2.0
 
-// ChoosePrefillWithin is ChoosePrefill, but if the prefill is expected to take longer
-// than objective, it is chosen with LatePriority. No objective is 0.
+// ChoosePrefillWithin is ChoosePrefill for a request with a latency objective: if the
+// prefill is expected to take longer, it is chosen with LatePriority. An objective of 0
+// stands for none.
 func (scheduler *Scheduler) ChoosePrefillWithin(service string, prompt *site.Prompt, priority int, objective time.Duration, except []string) (Prefill, bool) {
 	prefill, ok := scheduler.ChoosePrefill(service, prompt, priority, except)
 	if !ok || objective <= 0 || prefill.ExpectedMS() <= float64(objective)/float64(time.Millisecond) {
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -159,7 +159,7 @@
 		lost = nil
 	}
 	for {
-		fired, before := false, generation.progress()
+		silent, before := false, generation.progress()
 		select {
 		case <-lost:
 			lost = nil
@@ -171,7 +171,7 @@
 		case result, ok := <-generation.standbyResults():
 			generation.handleStandby(result, ok)
 		case <-silence.C:
-			fired = true
+			silent = true
 			generation.startStandby(ctx)
 		}
 		for generation.standby != nil && generation.standby.hasEvent() {
@@ -186,14 +186,14 @@
 				}
 			}
 		}
-		if fired || generation.progress() != before {
+		if silent || generation.progress() != before {
 			silence.Reset(stream.silenceTimeout())
 		}
 	}
 }
 
-// progress is what a generation has achieved. Bytes that complete no event change
-// nothing in it.
+// progress tells whether a generation has got on: it changes with each event, accepted
+// run or change of runs, but not with bytes that complete no event.
 type progress struct {
 	active, standby *decodeRun
 	accepted        bool // the active run was accepted
