--- a/internal/coordination/place/load_test.go
+++ b/internal/coordination/place/load_test.go
@@ -22,8 +22,7 @@
 
 	instances      int
 	prefillEngines int
-	decodeEngines  int
-	tokensPerMS    float64 // that a prefill engine reads; a decode engine reads half as many
+	tokensPerMS    float64 // that an engine reads
 	subjects       int     // shared parts of prompts, equally popular
 	sharedTokens   int
 	ownTokens      int
@@ -55,7 +54,7 @@
 }
 
 // loadPolicy places one request of the model. It returns false if it refuses it, and
-// otherwise serves it until the first event or the deadline.
+// otherwise serves it until its prompt is read or its deadline passes.
 type loadPolicy func(*loadRequest) bool
 
 // loadRequest is a request at an instance.
@@ -105,14 +104,9 @@
 
 func (run *loadRun) startEngines() []site.Target {
 	var targets []site.Target
-	for i := range run.prefillEngines + run.decodeEngines {
+	for i := range run.prefillEngines {
 		target := site.Target{ID: fmt.Sprintf("e%02d", i), Service: "llm", Slots: run.Slots, Stage: site.Prefill}
-		tokensPerMS := run.tokensPerMS
-		if i >= run.prefillEngines {
-			target.Stage = site.Decode
-			tokensPerMS /= 2
-		}
-		run.engines[target.ID] = newModelEngine(tokensPerMS, run.KVCapacityTokens)
+		run.engines[target.ID] = newModelEngine(run.tokensPerMS, run.KVCapacityTokens)
 		targets = append(targets, target)
 	}
 	return targets
