--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -128,12 +128,8 @@
 	slow := time.NewTimer(stage.slowTimeout())
 	defer slow.Stop()
 	lost := exchange.lostSignal()
-	overdue, stop := stage.overdueSignal()
-	defer stop()
 	for {
 		select {
-		case <-overdue:
-			return nil, site.Target{}, exchange.capacityError(code.TeamOverloaded, minRetryAfter)
 		case <-lost:
 			return nil, site.Target{}, nil
 		case result := <-stage.results:
@@ -165,17 +161,6 @@
 	}
 }
 
-// overdueSignal returns a channel that tells when a prefill with the lowest priority has
-// waited as long as it may be expected to. Its caller can still come back then. The
-// channel of other prefills is nil. The function releases the timer.
-func (stage *prefillStage) overdueSignal() (<-chan time.Time, func()) {
-	if stage.exchange.prefillPriority != place.LatePriority {
-		return nil, func() {}
-	}
-	timer := time.NewTimer(stage.exchange.maxPrefillDelay())
-	return timer.C, func() { timer.Stop() }
-}
-
 // canForward reports whether the request should be forwarded and can be.
 func (stage *prefillStage) canForward() bool {
 	exchange := stage.exchange
@@ -330,18 +315,12 @@
 	abandonDelayPerGap       = 8
 )
 
-// maxPrefillDelay returns how long a prefill may take: three quarters of the time that
-// the caller waits.
-func (exchange *exchange) maxPrefillDelay() time.Duration {
+// checkPrefillDelay returns an error if the prompt is not expected to be
+// prefilled within three quarters of the time that the caller waits.
+func (exchange *exchange) checkPrefillDelay(prefill *place.Prefill) error {
 	route := exchange.route
 	limit := max(minAbandonDelay, abandonDelayPerObjective*route.LatencyObjective, abandonDelayPerGap*route.MaxEventGap)
-	return min(limit, exchange.remaining()) * 3 / 4
-}
-
-// checkPrefillDelay returns an error if the prompt is not expected to be prefilled in
-// time.
-func (exchange *exchange) checkPrefillDelay(prefill *place.Prefill) error {
-	limit := exchange.maxPrefillDelay()
+	limit = min(limit, exchange.remaining()) * 3 / 4
 	expected := time.Duration(prefill.ExpectedMS() * float64(time.Millisecond))
 	if expected <= limit {
 		return nil
