--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := world.startFleet(6); err != nil {
+	if err := world.startFleet(); err != nil {
 		return nil, err
 	}
 	findings := &findings{}
@@ -205,7 +205,7 @@
 	if _, err := world.publish(manifest(7, services, book, read)); err != nil {
 		return nil, err
 	}
-	if err := world.startFleet(6); err != nil {
+	if err := world.startFleet(); err != nil {
 		return nil, err
 	}
 	var changedAt atomic.Pointer[time.Time] // when the second change was confirmed
@@ -260,6 +260,9 @@
 	return findings.texts, nil
 }
 
+// firstCopyAge is the age of the copy in a drill soon after the first start.
+const firstCopyAge = 5 * time.Second
+
 // playToken has a drill soon after the first start of the system. The copy is older than
 // the first lease.
 func playToken(world *world) ([]string, error) {
@@ -276,11 +279,11 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	copied, copiedAt := world.store.copy(), time.Now()
-	if err := world.startFleet(6); err != nil {
+	if err := world.startFleet(); err != nil {
 		return nil, err
 	}
 	traffic := world.startTraffic(40*time.Millisecond, bookOrRead, func(call, result) {})
-	time.Sleep(copyAge - time.Since(copiedAt))
+	time.Sleep(firstCopyAge - time.Since(copiedAt))
 	awayAt := time.Now()
 	world.drill(copied)
 	stableAt := time.Now().Add(contactTime)
@@ -318,3 +321,72 @@
 	}
 	return findings.texts
 }
+
+// Figures of the trouble "config_storm" in sites/tidewater-guides.toml.
+const (
+	stormTime = 4 * time.Second
+	stormGap  = 330 * time.Millisecond
+)
+
+// playSilence has the open channels to the store go silent while manifests come in quick
+// succession. The first one after that takes a key away.
+func playSilence(world *world) ([]string, error) {
+	if err := world.openPlatform(); err != nil {
+		return nil, err
+	}
+	if err := world.addRunners("bookings-api", len(zones), nil); err != nil {
+		return nil, err
+	}
+	services := []string{"bookings-api"}
+	book, read := route("r-book", "/book/", "unsafe", "bookings-api"), route("r-read", "/conditions/", "safe", "bookings-api")
+	if _, err := world.publish(manifest(7, services, book, read)); err != nil {
+		return nil, err
+	}
+	if err := world.startFleet(); err != nil {
+		return nil, err
+	}
+	var takenAt, touchAt atomic.Pointer[time.Time] // when the key was taken away, and from when the instances are in touch
+	findings := &findings{}
+	next := func(instance *instance) call { return readingWith(instance, otherKey) }
+	traffic := world.startTraffic(20*time.Millisecond, next, func(call call, result result) {
+		taken, touch := takenAt.Load(), touchAt.Load()
+		if taken == nil || touch == nil || result.sentAt.Before(taken.Add(configApplyTime)) || result.sentAt.Before(*touch) {
+			return
+		}
+		for _, done := range world.runs.of(result.attempt) {
+			findings.addf("%s %s (%s), sent to %s %.2f s after its key was taken away: run by %s, the caller got status %d",
+				call.method, call.path, result.attempt, call.instance.name, result.sentAt.Sub(*taken).Seconds(), done.runner, result.status)
+		}
+	})
+	time.Sleep(8 * time.Second)
+	silentAt := time.Now().Add(time.Second + stormGap/2)
+	silent := false
+	for version, end := int64(10), time.Now().Add(stormTime); time.Now().Before(end); version += 3 {
+		read["TimeoutMs"] = 900 + version%2
+		changed := manifest(version, services, book, read)
+		if silent {
+			changed["Tenants"] = []map[string]any{{"Name": team, "ApiKeys": []string{key}, "Priority": 1}, {"Name": otherTeam, "ApiKeys": []string{}, "Priority": 1}}
+		}
+		confirmed, err := world.publish(changed)
+		if err != nil {
+			return nil, err
+		}
+		if silent && takenAt.Load() == nil {
+			takenAt.Store(&confirmed)
+		}
+		if !silent && time.Until(silentAt) < stormGap {
+			time.Sleep(time.Until(silentAt))
+			silent = true
+			touch := silentAt.Add(contactTime)
+			touchAt.Store(&touch)
+			if world.trouble {
+				world.store.silence()
+				world.record.sayf("trouble  the open channels to the store are silent")
+			}
+		}
+		time.Sleep(time.Until(confirmed.Add(stormGap)))
+	}
+	time.Sleep(6 * time.Second)
+	traffic.stop()
+	return findings.texts, nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"status":   playStatus,
 	"manifest": playManifest,
 	"token":    playToken,
+	"silence":  playSilence,
 }
 
 func main() {
@@ -135,10 +136,13 @@
 	return nil
 }
 
-// startFleet starts a number of instances.
-func (world *world) startFleet(count int) error {
+// instances is the number of instances, as in sites/tidewater-guides.toml.
+const instances = 6
+
+// startFleet starts the instances.
+func (world *world) startFleet() error {
 	var err error
-	world.fleet, err = newFleet(world.record, world.net127, count, zones, world.store.address, world.cloud.address)
+	world.fleet, err = newFleet(world.record, world.net127, instances, zones, world.store.address, world.cloud.address)
 	if err != nil {
 		return err
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/json"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -50,8 +53,17 @@
 	era     int
 	away    bool
 	changed chan struct{} // closed at the next change
+	conns   []*storeConn
 }
 
+// storeConn is a connection that the store has accepted.
+type storeConn struct {
+	silent atomic.Bool // nothing is answered on it any more
+}
+
+// connKey is the key of a *storeConn in the context of a call.
+type connKey struct{}
+
 func newStore(record *record) *store {
 	return &store{
 		record: record, started: time.Now(), era: 1,
@@ -69,11 +81,66 @@
 	mux.HandleFunc("POST /v1/rows-tx", store.serveTx)
 	mux.HandleFunc("GET /v1/rows-get", store.serveGet)
 	mux.HandleFunc("GET /v1/rows-feed", store.serveFeed)
-	store.address, store.server = listener.Addr().String(), &http.Server{Handler: mux}
+	store.address, store.server = listener.Addr().String(), &http.Server{Handler: silencer{mux}, ConnContext: store.addConn}
 	go func() { _ = store.server.Serve(listener) }()
 	return nil
 }
 
+// addConn keeps a new connection.
+func (store *store) addConn(ctx context.Context, _ net.Conn) context.Context {
+	conn := &storeConn{}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.conns = append(store.conns, conn)
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// silence makes all connections that are open now silent for good. New ones work.
+func (store *store) silence() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	for _, conn := range store.conns {
+		conn.silent.Store(true)
+	}
+}
+
+// silencer holds back the answers on silent connections.
+type silencer struct{ next http.Handler }
+
+func (silencer silencer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, ok := r.Context().Value(connKey{}).(*storeConn)
+	if !ok {
+		panic("a call without a connection")
+	}
+	if !conn.silent.Load() {
+		silencer.next.ServeHTTP(&silentWriter{w, conn}, r)
+	}
+	if conn.silent.Load() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// silentWriter drops the answer on a silent connection.
+type silentWriter struct {
+	http.ResponseWriter
+
+	conn *storeConn
+}
+
+func (silentWriter *silentWriter) WriteHeader(status int) {
+	if !silentWriter.conn.silent.Load() {
+		silentWriter.ResponseWriter.WriteHeader(status)
+	}
+}
+
+func (silentWriter *silentWriter) Write(data []byte) (int, error) {
+	if silentWriter.conn.silent.Load() {
+		return len(data), nil
+	}
+	return silentWriter.ResponseWriter.Write(data)
+}
+
 func (store *store) close() { _ = store.server.Close() }
 
 // put writes a row of the operator or of a runner and returns its version. It returns
