Followers log failed watches and ignored rows

The log could not tell rows that are dropped because of their versions from a store that holds nothing new, nor a silent connection from a slow store. No logic changed.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"mangopier.example/mangopier/internal/coordination/pause"
+	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/state/table"
 )
 
@@ -97,8 +98,10 @@
 	if follower.tableVersion == 0 || time.Since(follower.lastList) > listInterval {
 		return follower.list(ctx)
 	}
-	page, err := follower.source.Watch(ctx, follower.tableVersion, follower.watchWait(time.Now()))
+	start := time.Now()
+	page, err := follower.source.Watch(ctx, follower.tableVersion, follower.watchWait(start))
 	if err != nil {
+		follower.logFailedWatch(ctx, err, time.Since(start))
 		follower.tableVersion = 0
 		return follower.recordFailure(ctx, err)
 	}
@@ -117,6 +120,14 @@
 	return wait
 }
 
+// logFailedWatch logs a watch that ended without a response. Its time tells a
+// connection that went silent from one that was closed.
+func (follower *Follower) logFailedWatch(ctx context.Context, err error, took time.Duration) {
+	if ctx.Err() == nil && !code.Is(err, code.RowMissing) {
+		follower.logger.Info().Err(err).Dur("took-ms", took).Uint64("version", follower.tableVersion).Msg("watch failed; table will be listed")
+	}
+}
+
 func (follower *Follower) list(ctx context.Context) time.Duration {
 	page, err := follower.source.List(ctx)
 	if err != nil {
@@ -138,12 +149,19 @@
 func (follower *Follower) applyList(listed []table.Change, recovered bool, now time.Time) {
 	var changes []table.Change
 	present := make(map[string]bool, len(listed))
+	older := 0
 	for _, change := range listed {
 		present[change.Key] = true
-		if follower.isNewer(change) {
+		switch {
+		case follower.isNewer(change):
 			changes = append(changes, change)
+		case change.Version != follower.rowVersions[change.Key]:
+			older++
 		}
 	}
+	if older > 0 {
+		follower.logger.Info().Int("rows", older).Uint64("version", follower.tableVersion).Msg("listed rows are older than those at hand; ignored")
+	}
 	for key, version := range follower.rowVersions {
 		if present[key] {
 			continue
