A manifest written after a restore of the store gets in force

Cause: the followers of tables, and the mirrors between instances, compared the version of a row with the one at hand to drop stale lists. A store that is restored begins another history and gives its versions out again, so that the comparison says nothing. Nothing read Store-Era.

Now: each response, page and change carries the era of the store, and rows are ordered by era and version (table.Stamp, one comparison). A response of an earlier era is not believed, a watch that ends in another era leads to a list, rows missing from the first list of an era keep the grace period that they have after an outage. Mirrors tell their era (a field is added); one that is behind is not read, nor one of an earlier build once a restore was seen.

Accepting rows again that have a lower version would let a target that leaves or has gone come back from the copy. The roster therefore compares the rows of one run of a target by the count of its writes, which no restore takes back.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -61,13 +61,14 @@
 	applier Applier
 	logger  zerolog.Logger
 
-	rowVersions     map[string]uint64    // versions of the rows in the copy
-	missingUntil    map[string]time.Time // rows that expired in an outage, with the end of their grace
-	deletedVersions map[string]uint64    // versions at which rows were deleted, to detect stale lists
-	tableVersion    uint64               // 0 if a list is needed
-	lastList        time.Time
-	failures        int       // failed calls in a row
-	outageStart     time.Time // of the first failure in a row
+	rowStamps     map[string]table.Stamp // of the rows in the copy
+	missingUntil  map[string]time.Time   // rows that expired in an outage, with the end of their grace
+	deletedStamps map[string]table.Stamp // at which rows were deleted, to detect stale lists
+	era           uint64                 // of the last list
+	tableVersion  uint64                 // 0 if a list is needed
+	lastList      time.Time
+	failures      int       // failed calls in a row
+	outageStart   time.Time // of the first failure in a row
 }
 
 // New returns a follower that applies the changes of source. Name denotes the
@@ -75,8 +76,8 @@
 func New(name string, source Source, applier Applier, logger zerolog.Logger) *Follower {
 	return &Follower{
 		source: source, applier: applier,
-		logger:      logger.With().Str("part", "follow").Str("table", name).Logger(),
-		rowVersions: map[string]uint64{}, missingUntil: map[string]time.Time{}, deletedVersions: map[string]uint64{},
+		logger:    logger.With().Str("part", "follow").Str("table", name).Logger(),
+		rowStamps: map[string]table.Stamp{}, missingUntil: map[string]time.Time{}, deletedStamps: map[string]table.Stamp{},
 	}
 }
 
@@ -105,6 +106,10 @@
 		follower.tableVersion = 0
 		return follower.recordFailure(ctx, err)
 	}
+	if page.Era != follower.era { // the changes follow on a version of another era
+		follower.tableVersion = 0
+		return 0
+	}
 	follower.tableVersion = page.TableVersion
 	follower.applyWatched(page.Changes, time.Now())
 	return minCallInterval
@@ -130,22 +135,31 @@
 
 func (follower *Follower) list(ctx context.Context) time.Duration {
 	page, err := follower.source.List(ctx)
+	if err == nil && page.Era < follower.era {
+		err = code.Errorf(code.StoreDown, "list is of era %d, the rows at hand are of era %d", page.Era, follower.era)
+	}
 	if err != nil {
 		return follower.recordFailure(ctx, err)
 	}
+	restored := follower.era > 0 && page.Era > follower.era
+	if restored {
+		follower.logger.Warn().Uint64("era", page.Era).Uint64("version", page.TableVersion).Uint64("earlier-era", follower.era).
+			Msg("store was restored from a copy; all rows listed anew")
+	}
+	follower.era = page.Era
 	recovered := follower.failures > 1
 	if recovered {
 		follower.logger.Info().Dur("outage-ms", time.Since(follower.outageStart)).Uint64("version", page.TableVersion).Msg("table available again")
 	}
 	follower.failures = 0
 	follower.tableVersion, follower.lastList = page.TableVersion, time.Now()
-	follower.applyList(page.Changes, recovered, follower.lastList)
+	follower.applyList(page.Changes, recovered || restored, follower.lastList)
 	return 0
 }
 
 // applyList applies the difference between a list and the copy. Rows that are
 // not in the list are deleted at once or, if the list is the first after an
-// outage, when their grace period has ended.
+// outage or a restore of the store, when their grace period has ended.
 func (follower *Follower) applyList(listed []table.Change, recovered bool, now time.Time) {
 	var changes []table.Change
 	present := make(map[string]bool, len(listed))
@@ -155,14 +169,14 @@
 		switch {
 		case follower.isNewer(change):
 			changes = append(changes, change)
-		case change.Version != follower.rowVersions[change.Key]:
+		case change.Stamp() != follower.rowStamps[change.Key]:
 			older++
 		}
 	}
 	if older > 0 {
 		follower.logger.Info().Int("rows", older).Uint64("version", follower.tableVersion).Msg("listed rows are older than those at hand; ignored")
 	}
-	for key, version := range follower.rowVersions {
+	for key, stamp := range follower.rowStamps {
 		if present[key] {
 			continue
 		}
@@ -171,7 +185,7 @@
 		case recovered && !inGrace:
 			follower.missingUntil[key] = now.Add(missingRowGrace)
 		case !inGrace:
-			changes = append(changes, table.Change{Key: key, Version: version, Deleted: true})
+			changes = append(changes, deletion(key, stamp))
 		}
 	}
 	follower.apply(changes, now)
@@ -180,7 +194,11 @@
 // isNewer reports whether a row is newer than what the copy has or had. Lists
 // from the mirror of another instance may be some seconds old.
 func (follower *Follower) isNewer(change table.Change) bool {
-	return change.Version > follower.rowVersions[change.Key] && change.Version > follower.deletedVersions[change.Key]
+	return change.Stamp().After(follower.rowStamps[change.Key]) && change.Stamp().After(follower.deletedStamps[change.Key])
+}
+
+func deletion(key string, stamp table.Stamp) table.Change {
+	return table.Change{Key: key, Version: stamp.Version, Era: stamp.Era, Deleted: true}
 }
 
 func (follower *Follower) applyWatched(changes []table.Change, now time.Time) {
@@ -198,9 +216,9 @@
 	for _, change := range changes {
 		delete(follower.missingUntil, change.Key)
 		if change.Deleted {
-			follower.recordDeletion(change.Key, max(change.Version, follower.rowVersions[change.Key]))
+			follower.recordDeletion(change.Key, change.Stamp())
 		} else {
-			follower.rowVersions[change.Key] = change.Version
+			follower.rowStamps[change.Key] = change.Stamp()
 		}
 	}
 	for key, until := range follower.missingUntil {
@@ -208,22 +226,25 @@
 			continue
 		}
 		follower.logger.Info().Str("row", key).Msg("row still missing after the grace period; deleted")
-		changes = append(changes, table.Change{Key: key, Version: follower.rowVersions[key], Deleted: true})
+		changes = append(changes, deletion(key, follower.rowStamps[key]))
 		delete(follower.missingUntil, key)
-		follower.recordDeletion(key, follower.rowVersions[key])
+		follower.recordDeletion(key, follower.rowStamps[key])
 	}
 	follower.applier.Apply(changes)
 }
 
-// maxDeletedVersions bounds the memory for the versions of deleted rows.
-const maxDeletedVersions = 4096
+// maxDeletedStamps bounds the memory for the stamps of deleted rows.
+const maxDeletedStamps = 4096
 
-func (follower *Follower) recordDeletion(key string, version uint64) {
-	delete(follower.rowVersions, key)
-	if len(follower.deletedVersions) >= maxDeletedVersions {
-		clear(follower.deletedVersions)
+func (follower *Follower) recordDeletion(key string, stamp table.Stamp) {
+	if latest := follower.rowStamps[key]; latest.After(stamp) {
+		stamp = latest
+	}
+	delete(follower.rowStamps, key)
+	if len(follower.deletedStamps) >= maxDeletedStamps {
+		clear(follower.deletedStamps)
 	}
-	follower.deletedVersions[key] = version
+	follower.deletedStamps[key] = stamp
 }
 
 // recordFailure counts a failed call and returns the backoff before the next
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -22,6 +22,7 @@
 	rows    map[string]uint64
 	changes []table.Change
 	version uint64
+	era     uint64
 	err     error
 	lists   int
 }
@@ -33,9 +34,9 @@
 	if source.err != nil {
 		return table.Page{}, source.err
 	}
-	page := table.Page{TableVersion: source.version}
+	page := table.Page{TableVersion: source.version, Era: source.era}
 	for key, version := range source.rows {
-		page.Changes = append(page.Changes, table.Change{Key: key, Version: version})
+		page.Changes = append(page.Changes, table.Change{Key: key, Version: version, Era: source.era})
 	}
 	return page, nil
 }
@@ -47,9 +48,10 @@
 	if source.err != nil {
 		return table.Page{}, source.err
 	}
-	page := table.Page{TableVersion: source.version}
+	page := table.Page{TableVersion: source.version, Era: source.era}
 	for _, change := range source.changes {
 		if change.Version > after {
+			change.Era = source.era
 			page.Changes = append(page.Changes, change)
 		}
 	}
--- a/internal/protocol/site/site.go
+++ b/internal/protocol/site/site.go
@@ -201,6 +201,7 @@
 	Spot       bool // spot capacity, which the platform may reclaim at short notice
 	Stage      Stage
 	Started    time.Time // zero if the target does not report it
+	Revision   int64     // increases with each write of the target's entry since its start, 0 if unknown
 }
 
 // Load is the load that a target reports with a response.
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -23,6 +23,7 @@
 
 	mutex   sync.Mutex
 	targets map[string]site.Target
+	removed map[string]site.Target // as last listed
 	loaded  bool
 }
 
@@ -34,6 +35,7 @@
 		decode: decode, onChange: onChange,
 		logger:  logger.With().Str("part", "roster").Logger(),
 		targets: map[string]site.Target{},
+		removed: map[string]site.Target{},
 	}
 }
 
@@ -61,7 +63,7 @@
 func (roster *Roster) apply(change table.Change) {
 	previous, ok := roster.targets[change.Key]
 	if change.Deleted {
-		delete(roster.targets, change.Key)
+		roster.remove(change.Key)
 		if ok {
 			roster.logger.Info().Str("target", change.Key).Msg("target removed")
 		}
@@ -69,11 +71,18 @@
 	}
 	target, err := roster.decode(change.Key, change.Value)
 	if err != nil {
-		delete(roster.targets, change.Key)
+		roster.remove(change.Key)
 		roster.logger.Warn().Err(err).Str("target", change.Key).Msg("target row cannot be decoded; target not used")
 		return
 	}
+	if roster.isOutdated(&target) {
+		roster.logger.Info().Str("target", target.ID).Int64("revision", target.Revision).Uint64("version", change.Version).
+			Msg("target row is older than what is known of that run of the target; row ignored")
+		return
+	}
 	roster.targets[change.Key] = target
+	delete(roster.removed, change.Key)
+	previous.Revision = target.Revision
 	if !ok || previous != target {
 		roster.logger.Info().Str("target", target.ID).Str("service", target.Service).Str("address", target.Address).
 			Str("data-center", target.DataCenter).Stringer("stage", target.Stage).Bool("leaving", target.Draining).
@@ -81,6 +90,35 @@
 	}
 }
 
+// maxRemoved bounds the memory for targets that were removed.
+const maxRemoved = 4096
+
+func (roster *Roster) remove(id string) {
+	target, ok := roster.targets[id]
+	if !ok {
+		return
+	}
+	delete(roster.targets, id)
+	if len(roster.removed) >= maxRemoved {
+		clear(roster.removed)
+	}
+	roster.removed[id] = target
+}
+
+// isOutdated reports whether a row tells less than what is known of the same run of
+// the target: a store that was restored from a copy may list a target that has gone,
+// or one that leaves as ready.
+func (roster *Roster) isOutdated(target *site.Target) bool {
+	if target.Started.IsZero() || target.Revision == 0 {
+		return false
+	}
+	if known, ok := roster.targets[target.ID]; ok {
+		return known.Started.Equal(target.Started) && target.Revision < known.Revision
+	}
+	known, ok := roster.removed[target.ID]
+	return ok && known.Started.Equal(target.Started) && target.Revision <= known.Revision
+}
+
 func (roster *Roster) notify() {
 	targets := make([]site.Target, 0, len(roster.targets))
 	for _, target := range roster.targets {
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -54,10 +54,31 @@
 	Value   []byte // empty if it could not be decoded
 	Version uint64
 	Deleted bool
+	Era     uint64 `cbor:",omitempty"` // in which the version was given out, 0 if unknown
+}
+
+// Stamp returns the position of the change in the history of its row.
+func (change *Change) Stamp() Stamp { return Stamp{Era: change.Era, Version: change.Version} }
+
+// Stamp is a position in the history of a row. A store that is restored from a copy
+// begins a new era and gives out versions again, so that versions of different eras
+// say nothing about each other.
+type Stamp struct {
+	Era     uint64
+	Version uint64
+}
+
+// After reports whether the stamp is later than another one.
+func (stamp Stamp) After(other Stamp) bool {
+	if stamp.Era != other.Era {
+		return stamp.Era > other.Era
+	}
+	return stamp.Version > other.Version
 }
 
 // Page is the result of listing a table, or of watching it for changes.
 type Page struct {
 	Changes      []Change
 	TableVersion uint64 // watch from here for later changes
+	Era          uint64 // of the store, 0 if unknown
 }
--- a/internal/transport/mirror/mirror.go
+++ b/internal/transport/mirror/mirror.go
@@ -39,7 +39,8 @@
 	Version  uint64         `cbor:"2,keyasint"`           // to be sent as After in the next request
 	Snapshot bool           `cbor:"3,keyasint,omitempty"` // Changes holds all rows
 	Changes  []table.Change `cbor:"4,keyasint,omitempty"`
-	AgeMS    int64          `cbor:"5,keyasint"` // time since the last response of the mirror's own source
+	AgeMS    int64          `cbor:"5,keyasint"`           // time since the last response of the mirror's own source
+	Era      uint64         `cbor:"6,keyasint,omitempty"` // of the store, as of the last change; 0 if unknown
 }
 
 // maxLoggedChanges is how many changes of a table are kept for readers. A reader
@@ -60,6 +61,7 @@
 	rows        map[string]table.Change
 	changeLog   []table.Change // latest changes, oldest first
 	version     uint64         // number of changes so far, 0 before the first list
+	era         uint64         // highest of the changes so far
 	lastContact func() time.Time
 	changed     chan struct{} // closed at the next change
 }
@@ -99,6 +101,7 @@
 		return
 	}
 	for _, change := range changes {
+		tableState.era = max(tableState.era, change.Era)
 		if change.Deleted {
 			delete(tableState.rows, change.Key)
 		} else {
@@ -156,6 +159,7 @@
 	}
 	response := &WatchResponse{
 		BootID: mirror.bootID, Version: tableState.version, AgeMS: time.Since(tableState.lastContact()).Milliseconds(),
+		Era: tableState.era,
 	}
 	missing := tableState.version - message.After
 	if message.BootID == mirror.bootID && message.After <= tableState.version && missing <= uint64(len(tableState.changeLog)) {
--- a/internal/transport/mirror/mirror_test.go
+++ b/internal/transport/mirror/mirror_test.go
@@ -51,17 +51,18 @@
 // store is a follow.Source that returns the given error and counts its calls.
 type store struct {
 	err   error
+	era   uint64
 	calls int
 }
 
 func (store *store) List(context.Context) (table.Page, error) {
 	store.calls++
-	return table.Page{Changes: []table.Change{{Key: "from-store", Version: 1}}, TableVersion: 1}, store.err
+	return table.Page{Changes: []table.Change{{Key: "from-store", Version: 1, Era: store.era}}, TableVersion: 1, Era: store.era}, store.err
 }
 
 func (store *store) Watch(context.Context, uint64, time.Duration) (table.Page, error) {
 	store.calls++
-	return table.Page{TableVersion: 1}, store.err
+	return table.Page{TableVersion: 1, Era: store.era}, store.err
 }
 
 func sortedKeys(changes []table.Change) string {
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -99,6 +99,8 @@
 	mirrorBootID   uint64
 	storeFailedAt  time.Time // last failure
 	mirrorFailedAt time.Time // last failure
+	era            uint64    // highest seen, of the store
+	restored       bool      // more than one era was seen
 	lastContactNS  atomic.Int64
 }
 
@@ -129,6 +131,7 @@
 	if err == nil {
 		source.mirrorAddress = ""
 		source.recordContact(0)
+		source.recordEra(page.Era)
 		return page, nil
 	}
 	source.storeFailedAt = time.Now()
@@ -151,6 +154,7 @@
 		switch {
 		case err == nil:
 			source.recordContact(0)
+			source.recordEra(page.Era)
 		case !code.Is(err, code.RowMissing):
 			source.storeFailedAt = time.Now() // the next list asks a mirror first
 		}
@@ -165,8 +169,7 @@
 	if response.Snapshot {
 		return table.Page{}, code.Errorf(code.RowMissing, "mirror does not have the changes after this version; list the table")
 	}
-	source.recordContact(response.AgeMS)
-	return table.Page{Changes: response.Changes, TableVersion: response.Version}, nil
+	return source.mirrorPage(response)
 }
 
 func (source *Source) listFromMirror(ctx context.Context, address string) (table.Page, error) {
@@ -175,8 +178,32 @@
 		return table.Page{}, err
 	}
 	source.mirrorAddress, source.mirrorBootID = address, response.BootID
+	return source.mirrorPage(response)
+}
+
+// mirrorPage returns the page that a mirror's response holds. A mirror of an earlier
+// build names no era: its rows belong to the only era that was seen, and are of no use
+// after a restore of the store.
+func (source *Source) mirrorPage(response *WatchResponse) (table.Page, error) {
+	switch {
+	case response.Era == 0 && source.restored:
+		return table.Page{}, code.Errorf(code.PeerUnreachable, "mirror %s does not tell the era of its table", source.mirrorAddress)
+	case response.Era == 0:
+		response.Era = source.era
+		for i := range response.Changes {
+			response.Changes[i].Era = source.era
+		}
+	case response.Era < source.era:
+		return table.Page{}, code.Errorf(code.PeerUnreachable, "table of mirror %s is of era %d, the store is in era %d", source.mirrorAddress, response.Era, source.era)
+	}
+	source.recordEra(response.Era)
 	source.recordContact(response.AgeMS)
-	return table.Page{Changes: response.Changes, TableVersion: response.Version}, nil
+	return table.Page{Changes: response.Changes, TableVersion: response.Version, Era: response.Era}, nil
+}
+
+func (source *Source) recordEra(era uint64) {
+	source.restored = source.restored || (source.era > 0 && era > source.era)
+	source.era = max(source.era, era)
 }
 
 func (source *Source) recordContact(ageMS int64) {
--- /dev/null
+++ b/internal/transport/node/restore_test.go
@@ -0,0 +1,53 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// The store comes back from a copy and counts its versions from there. Guards against a
+// manifest of after the restore that never gets in force, since an earlier one had a higher
+// version of the store.
+func TestManifestAfterRestoreOfStoreIsInForce(t *testing.T) {
+	store := newFakeStore()
+	store.put("op", "config", manifest(3, "/read/"))
+	startTarget(t, store)
+	control := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(control.Close)
+	ports := [2]int{freePort(t), freePort(t)}
+	log := &logBuffer{}
+	first, firstSettings := startNode(t, "a", "127.0.0.1", store.endpoint(t).address, control.Listener.Addr().String(), ports, log)
+	second, secondSettings := startNode(t, "b", "127.0.0.2", store.endpoint(t).address, control.Listener.Addr().String(), ports, log)
+	eventually(t, "both instances are ready", func() bool { return first.Ready() && second.Ready() })
+	copied := store.copy()
+	for i := range 1000 { // versions that are given out again
+		store.put("op", "other", fmt.Sprint(i))
+	}
+	store.put("op", "config", manifest(5, "/moved/"))
+	served := func(path string) bool {
+		for _, address := range []string{firstSettings.ListenAddress, secondSettings.ListenAddress} {
+			if status, _ := get(t, address, path); status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	}
+	eventually(t, "the manifest before the restore is in force", func() bool { return served("/moved/x") })
+	store.away.Store(true)
+	time.Sleep(300 * time.Millisecond)
+	store.restore(copied)
+	store.away.Store(false)
+	if !served("/moved/x") {
+		t.Error("the manifest of before the restore is not in force after it, want it to stay")
+	}
+	store.put("op", "config", manifest(8, "/again/"))
+	eventually(t, "the manifest after the restore is in force", func() bool { return served("/again/x") })
+	if status, _ := get(t, firstSettings.ListenAddress, "/moved/x"); status != http.StatusNotFound {
+		t.Errorf("status of a route that was dropped = %d, want %d", status, http.StatusNotFound)
+	}
+	first.Stop()
+	second.Stop()
+}
--- a/internal/transport/node/store_test.go
+++ b/internal/transport/node/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -20,10 +21,12 @@
 type fakeStore struct {
 	mutex   sync.Mutex
 	version uint64
+	era     int
 	rows    map[string]storedRow // by table and key
 	changes []storedRow
 	changed chan struct{}
 	started time.Time
+	away    atomic.Bool // requests are refused
 }
 
 type storedRow struct {
@@ -36,7 +39,44 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{rows: map[string]storedRow{}, changed: make(chan struct{}), started: time.Now()}
+	return &fakeStore{era: 1, rows: map[string]storedRow{}, changed: make(chan struct{}), started: time.Now()}
+}
+
+// storeCopy is what a store held at a moment.
+type storeCopy struct {
+	version uint64
+	rows    map[string]storedRow
+	changes []storedRow
+}
+
+func (store *fakeStore) copy() storeCopy {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return storeCopy{store.version, maps.Clone(store.rows), slices.Clone(store.changes)}
+}
+
+// restore makes the store come back from a copy in a new era. What the operator and the
+// targets wrote since is written again.
+func (store *fakeStore) restore(copied storeCopy) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	before := store.rows
+	store.era++
+	store.version, store.rows, store.changes = copied.version, maps.Clone(copied.rows), slices.Clone(copied.changes)
+	for _, id := range slices.Sorted(maps.Keys(before)) {
+		if row := before[id]; row.Table != "mangopier" && store.rows[id] != row {
+			store.write(row)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(store.rows)) {
+		row := store.rows[id]
+		if _, ok := before[id]; !ok && row.Table != "mangopier" {
+			row.Deleted = true
+			store.write(row)
+		}
+	}
+	close(store.changed)
+	store.changed = make(chan struct{})
 }
 
 // endpoint is one address of the store, which can stop responding.
@@ -66,6 +106,10 @@
 		<-endpoint.closed
 		return
 	}
+	if endpoint.store.away.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/v1/rows-get":
 		endpoint.store.get(w, r, endpoint)
@@ -107,6 +151,7 @@
 	if err != nil {
 		panic(err)
 	}
+	w.Header().Set("Store-Era", strconv.Itoa(store.era))
 	_, _ = w.Write(data)
 }
 
@@ -132,6 +177,12 @@
 	defer timer.Stop()
 	for {
 		store.mutex.Lock()
+		if after > store.version {
+			w.Header().Set("Store-Era", strconv.Itoa(store.era))
+			w.WriteHeader(http.StatusGone)
+			store.mutex.Unlock()
+			return
+		}
 		rows := []storedRow{}
 		for _, row := range store.changes {
 			if row.Table == query.Get("Table") && row.RowVersion > after {
@@ -173,6 +224,7 @@
 	defer store.mutex.Unlock()
 	for _, row := range transaction.Expected {
 		if store.rows[row.Table+"/"+row.Key].RowVersion != row.RowVersion {
+			w.Header().Set("Store-Era", strconv.Itoa(store.era))
 			w.WriteHeader(http.StatusPreconditionFailed)
 			return
 		}
