A silent connection to the store hides changes within the contact time only

Cause: a watch had 3.5 s to return, 2 s of wait and 1.5 s of margin, whatever the site's contact time is. The watches of all instances begin together, so that no instance could tell another of the manifest.

Now a watch has four fifths of the contact time that the platform sets, so that a list has the rest. It waits 1.5 s for changes instead of 2 s on the sites.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -34,9 +34,12 @@
 }
 
 const (
-	// maxWatchWait bounds one wait for changes, so that a connection that no
-	// longer responds is noticed within a few seconds.
-	maxWatchWait = 2 * time.Second
+	// defaultResponseLimit is the time within which a watch has to return. A
+	// connection that went silent hides changes for so long.
+	defaultResponseLimit = 2400 * time.Millisecond
+	// responseMargin is how long after its wait a watch may return. Slow responses
+	// of the store take about 300 ms.
+	responseMargin = 900 * time.Millisecond
 	// listInterval is the time between full lists, which make up for changes
 	// that Watch did not deliver.
 	listInterval = 10 * time.Second
@@ -55,11 +58,22 @@
 	missingRowGrace = 2500 * time.Millisecond
 )
 
+// Option configures a Follower.
+type Option func(*Follower)
+
+// WithResponseLimit sets the time within which a watch has to return, 2.4 s by default.
+// The table is listed when it has passed, so that a connection that went silent hides
+// changes no longer than that.
+func WithResponseLimit(limit time.Duration) Option {
+	return func(follower *Follower) { follower.responseLimit = limit }
+}
+
 // Follower keeps one copy up to date.
 type Follower struct {
-	source  Source
-	applier Applier
-	logger  zerolog.Logger
+	source        Source
+	applier       Applier
+	responseLimit time.Duration
+	logger        zerolog.Logger
 
 	rowStamps     map[string]table.Stamp // of the rows in the copy
 	missingUntil  map[string]time.Time   // rows that expired in an outage, with the end of their grace
@@ -73,12 +87,16 @@
 
 // New returns a follower that applies the changes of source. Name denotes the
 // table in the log.
-func New(name string, source Source, applier Applier, logger zerolog.Logger) *Follower {
-	return &Follower{
-		source: source, applier: applier,
+func New(name string, source Source, applier Applier, logger zerolog.Logger, opts ...Option) *Follower {
+	follower := &Follower{
+		source: source, applier: applier, responseLimit: defaultResponseLimit,
 		logger:    logger.With().Str("part", "follow").Str("table", name).Logger(),
 		rowStamps: map[string]table.Stamp{}, missingUntil: map[string]time.Time{}, deletedStamps: map[string]table.Stamp{},
 	}
+	for _, opt := range opts {
+		opt(follower)
+	}
+	return follower
 }
 
 // Start follows the table until ctx ends. The channel is closed after the last
@@ -100,7 +118,9 @@
 		return follower.list(ctx)
 	}
 	start := time.Now()
-	page, err := follower.source.Watch(ctx, follower.tableVersion, follower.watchWait(start))
+	watchCtx, cancel := context.WithTimeout(ctx, follower.responseLimit)
+	page, err := follower.source.Watch(watchCtx, follower.tableVersion, follower.watchWait(start))
+	cancel()
 	if err != nil {
 		follower.logFailedWatch(ctx, err, time.Since(start))
 		follower.tableVersion = 0
@@ -118,7 +138,7 @@
 // watchWait returns how long to wait for changes. The wait does not last beyond
 // the end of the next grace period, so that missing rows are deleted in time.
 func (follower *Follower) watchWait(now time.Time) time.Duration {
-	wait := maxWatchWait
+	wait := max(minCallInterval, follower.responseLimit-responseMargin)
 	for _, until := range follower.missingUntil {
 		wait = min(wait, max(minCallInterval, until.Sub(now)))
 	}
--- a/internal/coordination/follow/restore_test.go
+++ b/internal/coordination/follow/restore_test.go
@@ -103,7 +103,7 @@
 	runStampFollower(t, source, func(copied *stampCopy) {
 		time.Sleep(time.Second)
 		source.restore(3, map[string]uint64{"b": 2})
-		time.Sleep(3 * time.Second) // the watch that began before the restore ends within 2 s
+		time.Sleep(2 * time.Second) // the watch that began before the restore has ended by then
 		copied.expect(t, "within the grace period", map[string]table.Stamp{"a": {Era: 1, Version: 10}, "b": {Era: 2, Version: 2}})
 		time.Sleep(4 * time.Second)
 		copied.expect(t, "after the grace period", map[string]table.Stamp{"b": {Era: 2, Version: 2}})
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -100,6 +100,9 @@
 	// shutdownReserve is the part of the grace period that is kept for ending
 	// the process.
 	shutdownReserve = 700 * time.Millisecond
+	// responseLimitPercent is the part of the contact time within which a watch of a
+	// table has to return. The rest is for the list that follows.
+	responseLimitPercent = 80
 	// ejectionTime is how long an unhealthy target gets no requests, and
 	// rampTime how long its share then takes to return to normal. Faults on
 	// the sites last some 5 s.
@@ -221,7 +224,11 @@
 // the mirror of a peer, and is in turn served to peers.
 func (node *Node) follow(name string, store follow.Source, applier follow.Applier, client *mirror.Client) *follow.Follower {
 	source := mirror.NewSource(name, store, client, node.chooseMirror)
-	return follow.New(name, source, node.mirror.Tee(name, applier, source.LastContact), node.logger)
+	var opts []follow.Option
+	if contactTime := node.settings.Bounds.ContactTime; contactTime > 0 {
+		opts = append(opts, follow.WithResponseLimit(contactTime*responseLimitPercent/100))
+	}
+	return follow.New(name, source, node.mirror.Tee(name, applier, source.LastContact), node.logger, opts...)
 }
 
 func (node *Node) listen(ctx context.Context) error {
