A newer manifest is fetched from a peer that has lost the store

A newer manifest is newer at any age, so that only lists of targets need the age.

TestFetchesTableOfMirrorThatLostTheStore failed before: 'table of mirror is stale'.

--- a/internal/transport/mirror/mirror_test.go
+++ b/internal/transport/mirror/mirror_test.go
@@ -187,3 +187,15 @@
 		t.Errorf("%d calls to the store, want 6: a list and five watches", direct.calls)
 	}
 }
+
+// A peer has a newer manifest and has lost the store since. Guards against keeping the
+// older manifest: a newer one is newer at any age.
+func TestFetchesTableOfMirrorThatLostTheStore(t *testing.T) {
+	mirrorServer := startMirror(t)
+	mirrorServer.tee.Apply(changesOf("config"))
+	mirrorServer.lastContact = time.Now().Add(-time.Minute)
+	changes, err := mirror.NewClient().FetchTable(t.Context(), mirrorServer.address, "targets")
+	if err != nil || sortedKeys(changes) != "config" {
+		t.Errorf("FetchTable() = %+v, %v, want row config", changes, err)
+	}
+}
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -68,15 +68,21 @@
 	if err != nil {
 		return nil, code.Wrap(err, code.PeerUnreachable, "mirror "+address)
 	}
-	if response.Msg.AgeMS > maxTableAge.Milliseconds() {
-		return nil, code.Errorf(code.PeerUnreachable, "table of mirror %s is stale: last contact with its source %d ms ago", address, response.Msg.AgeMS)
-	}
 	return response.Msg, nil
 }
 
-// FetchTable returns all rows of a table from the mirror at address. The error has
-// code.PeerUnreachable if the mirror does not respond, does not have the table
-// or has a stale one.
+// watchFresh is watch, but fails if the mirror has lost contact with its source.
+func (client *Client) watchFresh(ctx context.Context, address string, message *WatchRequest) (*WatchResponse, error) {
+	response, err := client.watch(ctx, address, message)
+	if err == nil && response.AgeMS > maxTableAge.Milliseconds() {
+		err = code.Errorf(code.PeerUnreachable, "table of mirror %s is stale: last contact with its source %d ms ago", address, response.AgeMS)
+	}
+	return response, err
+}
+
+// FetchTable returns all rows of a table from the mirror at address, which may have
+// lost contact with its source. The error has code.PeerUnreachable if the mirror does
+// not respond or does not have the table.
 func (client *Client) FetchTable(ctx context.Context, address, name string) ([]table.Change, error) {
 	response, err := client.watch(ctx, address, &WatchRequest{Table: name})
 	if err != nil {
@@ -160,7 +166,7 @@
 		}
 		return page, err
 	}
-	response, err := source.client.watch(ctx, source.mirrorAddress, &WatchRequest{
+	response, err := source.client.watchFresh(ctx, source.mirrorAddress, &WatchRequest{
 		Table: source.name, BootID: source.mirrorBootID, After: after, WaitMS: min(wait, maxWatchWait).Milliseconds(),
 	})
 	if err != nil {
@@ -173,7 +179,7 @@
 }
 
 func (source *Source) listFromMirror(ctx context.Context, address string) (table.Page, error) {
-	response, err := source.client.watch(ctx, address, &WatchRequest{Table: source.name})
+	response, err := source.client.watchFresh(ctx, address, &WatchRequest{Table: source.name})
 	if err != nil {
 		return table.Page{}, err
 	}
