An instance returns to the store when it is served again

Callers saw: requests with a key that had been taken away were run 2.3 s after the operator's change was confirmed, while the store turned most instances away ('handled by version 129 or older; version 139 was acked more than 2000 ms before', the report of the users).

Cause: an instance that the store has turned away reads a mirror, and went on with it after the store served it again, until the next list, for up to 10 s. If the mirror was turned away in that time, its table counted as fresh for 2.5 s more. Instances may read each other's mirrors then, so that none asks the store, not even the one that would be served.

TestReturnsToStoreAfterOwnOutage failed before: 20 s without a call to the store that serves again.

Now the store is listed in the background every 500 ms while a mirror stands in for it, and the first list that succeeds is used. Instances that are to read a mirror, in large sites, make no such calls.

Ruled out: a lower age at which a mirror's table counts as stale. It would have to be below the time between two watches of the store.

--- a/internal/transport/mirror/lost_test.go
+++ b/internal/transport/mirror/lost_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/transport/mirror"
 )
 
@@ -136,3 +137,39 @@
 		})
 	}
 }
+
+// The store turned an instance away for a moment, so that it reads a mirror. Guards against
+// going on with that while the store serves it again: when the mirror loses the store, the
+// instance does not see a new manifest until the table of the mirror is too old.
+func TestReturnsToStoreAfterOwnOutage(t *testing.T) {
+	const maxReturnTime = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		tables, listener := mirror.New(), newPipeListener()
+		tee := tables.Tee("targets", discardChanges{}, time.Now) // never loses the store
+		tee.Apply(changesOf("a"))
+		mux := http.NewServeMux()
+		mux.Handle(tables.Handler())
+		server := &http.Server{Handler: mux}
+		go func() { _ = server.Serve(listener) }()
+		client, store := mirror.NewClient(mirror.WithDialContext(listener.dial)), &store{err: code.Errorf(code.StoreDown, "turned away")}
+		source := mirror.NewSource("targets", store, client, func() (string, bool) { return "mirror:1", true })
+		page, err := source.List(t.Context())
+		if err != nil || sortedKeys(page.Changes) != "a" {
+			t.Fatalf("source.List() = %+v, %v, want row a of the mirror", page, err)
+		}
+		for range 4 { // the store stays away for a while
+			if page, err = source.Watch(t.Context(), page.TableVersion, time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		store.err = nil
+		returned := time.Now()
+		watchUntilStoreIsUsed(t, source, page.TableVersion)
+		if took := time.Since(returned); took > maxReturnTime {
+			t.Errorf("store used %s after it serves the instance again, want at most %s", took, maxReturnTime)
+		}
+		client.Close()
+		_ = server.Close()
+		synctest.Wait()
+	})
+}
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -30,6 +30,9 @@
 	// mirror serves the table, and how long mirrors are not asked after one
 	// failed if the store serves it.
 	failureBackoff = 2 * time.Second
+	// probeInterval is the time between two attempts to list the store while a mirror
+	// serves the table to an instance that should ask the store.
+	probeInterval = 500 * time.Millisecond
 )
 
 // Client calls the mirrors of other instances. Its methods may be called by
@@ -103,10 +106,12 @@
 
 	mirrorAddress  string // of the mirror in use, empty if the store is in use
 	mirrorBootID   uint64
-	storeFailedAt  time.Time // last failure
-	mirrorFailedAt time.Time // last failure
-	era            uint64    // highest seen, of the store
-	restored       bool      // more than one era was seen
+	storeFailedAt  time.Time   // last failure
+	mirrorFailedAt time.Time   // last failure
+	probedAt       time.Time   // end of the last probe of the store
+	probed         *table.Page // list of a probe that succeeded, until List returns it
+	era            uint64      // highest seen, of the store
+	restored       bool        // more than one era was seen
 	lastContactNS  atomic.Int64
 }
 
@@ -124,6 +129,10 @@
 // List returns all rows. It asks the store and a mirror in the order that the
 // choice of mirror and recent failures give.
 func (source *Source) List(ctx context.Context) (table.Page, error) {
+	if probed := source.probed; probed != nil {
+		source.probed = nil
+		return source.useStore(*probed), nil
+	}
 	address, storeFirst := source.chooseMirror()
 	storeFirst = storeFirst && time.Since(source.storeFailedAt) > failureBackoff
 	if address != "" && !storeFirst {
@@ -135,10 +144,7 @@
 	}
 	page, err := source.store.List(ctx)
 	if err == nil {
-		source.mirrorAddress = ""
-		source.recordContact(0)
-		source.recordEra(page.Era)
-		return page, nil
+		return source.useStore(page), nil
 	}
 	source.storeFailedAt = time.Now()
 	if address != "" && storeFirst {
@@ -147,6 +153,14 @@
 	return page, err
 }
 
+// useStore makes the store serve the table from a list of it on.
+func (source *Source) useStore(page table.Page) table.Page {
+	source.mirrorAddress = ""
+	source.recordContact(0)
+	source.recordEra(page.Era)
+	return page
+}
+
 // Watch returns the changes after a version, from the store or the mirror that
 // the last list came from. It waits for some up to the given time, at a mirror
 // up to maxWatchWait. An error with code.RowMissing means that the table has to
@@ -166,9 +180,16 @@
 		}
 		return page, err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	probe := source.startProbe(ctx, cancel)
 	response, err := source.client.watchFresh(ctx, source.mirrorAddress, &WatchRequest{
 		Table: source.name, BootID: source.mirrorBootID, After: after, WaitMS: min(wait, maxWatchWait).Milliseconds(),
 	})
+	cancel()
+	if source.endProbe(probe) {
+		return table.Page{}, code.Errorf(code.RowMissing, "the store serves the table again; list it there")
+	}
 	if err != nil {
 		return table.Page{}, err
 	}
@@ -178,6 +199,39 @@
 	return source.mirrorPage(response)
 }
 
+// startProbe lists the store in the background if a mirror serves the table only since
+// the store failed. A mirror may lose the store itself, and its table then hides changes
+// until it is too old. A probe that succeeds calls found. The channel delivers the list
+// if there is one, and is closed at the end of the probe; it is nil without a probe.
+func (source *Source) startProbe(ctx context.Context, found func()) <-chan table.Page {
+	if _, storeFirst := source.chooseMirror(); !storeFirst || time.Since(source.probedAt) < probeInterval {
+		return nil
+	}
+	pages := make(chan table.Page, 1)
+	go func() {
+		defer close(pages)
+		if page, err := source.store.List(ctx); err == nil {
+			pages <- page
+			found()
+		}
+	}()
+	return pages
+}
+
+// endProbe waits for the end of a probe, whose context has ended, and reports whether
+// it has listed the store.
+func (source *Source) endProbe(probe <-chan table.Page) bool {
+	if probe == nil {
+		return false
+	}
+	page, ok := <-probe
+	source.probedAt = time.Now()
+	if ok {
+		source.probed = &page
+	}
+	return ok
+}
+
 func (source *Source) listFromMirror(ctx context.Context, address string) (table.Page, error) {
 	response, err := source.client.watchFresh(ctx, address, &WatchRequest{Table: source.name})
 	if err != nil {
