Logs tell the software version of targets and which attempt a stream resumes

The log could not tell in which way a stream came to hold events of two software versions. No logic changed: the version of a target's row and Resumes are decoded and logged only.

--- a/internal/protocol/site/site.go
+++ b/internal/protocol/site/site.go
@@ -195,6 +195,7 @@
 type Target struct {
 	ID         string
 	Service    string
+	Software   string // version of the target's software
 	Address    string // IP:port
 	DataCenter string
 	Slots      int  // requests that the target runs concurrently
@@ -249,6 +250,7 @@
 	Timeout     time.Duration // caller's timeout, 0 if it names none
 	Prompt      *Prompt       // nil for a request without a prompt
 	LastEventID string        // ID of the last event that the caller has received
+	Resumes     string        // attempt that brought the first event of the stream that the caller takes up
 }
 
 // Call holds what an instance adds to a request that it sends to a target.
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -84,7 +84,7 @@
 	delete(roster.removed, change.Key)
 	previous.Revision = target.Revision
 	if !ok || previous != target {
-		roster.logger.Info().Str("target", target.ID).Str("service", target.Service).Str("address", target.Address).
+		roster.logger.Info().Str("target", target.ID).Str("service", target.Service).Str("software", target.Software).Str("address", target.Address).
 			Str("data-center", target.DataCenter).Stringer("stage", target.Stage).Bool("leaving", target.Draining).
 			Bool("cheap", target.Spot).Uint64("version", change.Version).Msg("target added or changed")
 	}
--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -67,6 +67,9 @@
 	if exchange.forwarded {
 		event.Bool("forwarded", true) // by another instance, which logs the request too
 	}
+	if exchange.request != nil && exchange.request.LastEventID != "" {
+		event.Str("resumes", sanitizeForLog(exchange.request.Resumes)).Str("after-event", sanitizeForLog(exchange.request.LastEventID))
+	}
 	if exchange.maxGap > 0 {
 		event.Int64("pause-ms", exchange.maxGap.Milliseconds())
 	}
