Streams go on only at the software version that began them

Callers saw: while targets of two software versions served, or just after those of one had left, streams held events of both, in one answer and over a caller's attempts; the text did not fit together and nothing showed it. After a kill of all instances at once it was most of the streams taken up.

Cause: nothing read the Version of a target's row, nor Resumes. A broken or silent stream was resumed at any engine, and a caller's attempt went to any.

Now each instance tells the others at which version its streams began (a hash of the attempt, in two heartbeats; all of them to an instance that has started again), choices of targets keep to it, and forwarded requests carry it. A stream that nobody knows goes on if a single version can have begun it; otherwise it is refused at once as not run, 1112. The versions in service are kept in one row of the store for instances that are all started again.

Ruled out: a row for each stream (a write before each first event, none while the store is away); asking peers at the take-up (those that know may be gone).

--- /dev/null
+++ b/internal/coordination/origin/origin.go
@@ -0,0 +1,272 @@
+// Package origin remembers which version of the targets' software began a stream. What
+// two versions write does not fit together, so that a stream may go on only at the
+// version that began it, at whichever instance its caller takes it up.
+//
+// Instances tell each other the streams that they begin and the versions that are or
+// were in service. A stream that no live instance knows may go on only if a single
+// version can have begun it.
+package origin
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mangopier.example/mangopier/internal/protocol/site"
+)
+
+const (
+	// defaultTimeout is the timeout of a route that sets none.
+	defaultTimeout = time.Minute
+	// minGeneration is the least time for which streams are kept.
+	minGeneration = 10 * time.Second
+	// maxStreams bounds the streams of one generation. Beyond it, the oldest are
+	// forgotten early.
+	maxStreams = 50_000
+	// maxRepeated bounds the streams that one report repeats.
+	maxRepeated = 2000
+	// tellRounds is in how many reports to an instance a stream is told. One of them
+	// may get lost.
+	tellRounds = 2
+)
+
+// Option configures a Tracker.
+type Option func(*Tracker)
+
+// WithFirstStart states that the whole site starts for the first time, so that no
+// version was in service before.
+func WithFirstStart() Option {
+	return func(tracker *Tracker) { tracker.knownSince = time.Time{} }
+}
+
+// Tracker keeps the origins of streams. Its methods may be called by several goroutines.
+type Tracker struct {
+	mutex      sync.Mutex
+	memory     time.Duration // how long after its begin a stream may be taken up
+	services   []string      // whose streams may be taken up
+	targets    []site.Target
+	sightings  map[sighting]time.Time // when a version was last in service
+	knownSince time.Time              // from when on no version was in service that is not in sightings
+	round      int                    // of reports
+	repeatEnd  int                    // round up to which all streams are told
+
+	// The streams of the current and the previous generation. A generation lasts at
+	// least for the memory.
+	current, previous map[uint64]sighting
+	generationStart   time.Time
+	begun             []begunStream // by this instance, told in the next reports
+	changed           chan struct{} // closed when streams are added
+}
+
+// sighting is a version of a service's targets.
+type sighting struct{ service, version string }
+
+// begunStream is a stream that began at this instance.
+type begunStream struct {
+	sighting
+
+	hash  uint64
+	round int
+}
+
+// New returns a tracker that knows no target and no earlier version.
+func New(opts ...Option) *Tracker {
+	now := time.Now()
+	tracker := &Tracker{
+		knownSince: now, generationStart: now,
+		sightings: map[sighting]time.Time{}, changed: make(chan struct{}),
+		current: map[uint64]sighting{}, previous: map[uint64]sighting{},
+	}
+	for _, opt := range opts {
+		opt(tracker)
+	}
+	return tracker
+}
+
+// SetManifest sets the services whose streams may be taken up, and how long: a caller
+// that has received events for the time of its route may take them up for as long again.
+// The time never gets shorter, since streams go on that began under an earlier manifest.
+func (tracker *Tracker) SetManifest(manifest *site.Manifest) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	tracker.services = nil
+	for _, route := range manifest.Routes {
+		if !route.Resumable {
+			continue
+		}
+		timeout := route.Timeout
+		if timeout <= 0 {
+			timeout = defaultTimeout
+		}
+		tracker.memory = max(tracker.memory, 2*timeout)
+		for _, service := range route.Split {
+			tracker.services = append(tracker.services, service.Service)
+		}
+	}
+	slices.Sort(tracker.services)
+	tracker.services = slices.Compact(tracker.services)
+}
+
+// SetTargets replaces the list of targets.
+func (tracker *Tracker) SetTargets(targets []site.Target) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	now := time.Now()
+	tracker.see(now) // those that leave the list were in service until now
+	tracker.targets = targets
+	tracker.see(now)
+}
+
+// see records that the versions of the listed targets are in service.
+func (tracker *Tracker) see(now time.Time) {
+	for i := range tracker.targets {
+		target := &tracker.targets[i]
+		tracker.sightings[sighting{target.Service, target.Software}] = now
+	}
+}
+
+// Record records that a stream of a caller's attempt began or goes on at a version.
+func (tracker *Tracker) Record(service, attempt, version string) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	hash, seen := streamHash(service, attempt), sighting{service, version}
+	tracker.add(hash, seen)
+	tracker.begun = append(tracker.begun, begunStream{seen, hash, tracker.round})
+}
+
+func streamHash(service, attempt string) uint64 {
+	return xxhash.Sum64String(service + "\x00" + attempt)
+}
+
+func (tracker *Tracker) add(hash uint64, seen sighting) {
+	now := time.Now()
+	if now.Sub(tracker.generationStart) > max(tracker.memory, minGeneration) || len(tracker.current) >= maxStreams {
+		tracker.previous, tracker.current, tracker.generationStart = tracker.current, map[uint64]sighting{}, now
+	}
+	tracker.current[hash] = seen
+	close(tracker.changed)
+	tracker.changed = make(chan struct{})
+}
+
+// Lookup returns the version that began the stream of a caller's attempt. It returns
+// false if the version is not known.
+func (tracker *Tracker) Lookup(service, attempt string) (string, bool) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.lookup(service, attempt)
+}
+
+func (tracker *Tracker) lookup(service, attempt string) (string, bool) {
+	hash := streamHash(service, attempt)
+	for _, streams := range []map[uint64]sighting{tracker.current, tracker.previous} {
+		if known, ok := streams[hash]; ok {
+			return known.version, true
+		}
+	}
+	now := time.Now()
+	if now.Sub(tracker.knownSince) < tracker.memory {
+		return "", false
+	}
+	versions := tracker.versions(service, now)
+	switch len(versions) {
+	case 0:
+		return "", true
+	case 1:
+		return versions[0], true
+	default:
+		return "", false
+	}
+}
+
+// Await is Lookup, but waits for other instances to tell the stream until wait has
+// passed or ctx ends.
+func (tracker *Tracker) Await(ctx context.Context, service, attempt string, wait time.Duration) (string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		tracker.mutex.Lock()
+		version, ok := tracker.lookup(service, attempt)
+		changed := tracker.changed
+		tracker.mutex.Unlock()
+		if ok {
+			return version, true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return "", false
+		}
+	}
+}
+
+// versions returns the versions that may have begun a stream of a service that can still
+// be taken up, sorted.
+func (tracker *Tracker) versions(service string, now time.Time) []string {
+	tracker.see(now)
+	var versions []string
+	for seen, at := range tracker.sightings {
+		switch {
+		case now.Sub(at) > tracker.memory:
+			delete(tracker.sightings, seen)
+		case seen.service == service:
+			versions = append(versions, seen.version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// Versions returns, by service, the versions that may have begun a stream that can still
+// be taken up. It returns nil while versions may have been in service that are not known.
+func (tracker *Tracker) Versions() map[string][]string {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	now := time.Now()
+	if now.Sub(tracker.knownSince) < tracker.memory {
+		return nil
+	}
+	versions := map[string][]string{}
+	for _, service := range tracker.services {
+		versions[service] = tracker.versions(service, now)
+	}
+	return versions
+}
+
+// Restore adds the versions that were in service before the start, as an earlier run of
+// an instance returned them from Versions and kept them up to date.
+func (tracker *Tracker) Restore(versions map[string][]string) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	now := time.Now()
+	for service, seen := range versions {
+		for _, version := range seen {
+			tracker.sightings[sighting{service, version}] = now
+		}
+	}
+	tracker.knownSince = time.Time{}
+}
+
+// Serves reports whether a target of a service is listed with a version.
+func (tracker *Tracker) Serves(service, version string) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return slices.ContainsFunc(tracker.targets, func(target site.Target) bool {
+		return target.Service == service && target.Software == version
+	})
+}
+
+// Others returns the IDs of the listed targets of a service that have another version.
+func (tracker *Tracker) Others(service, version string) []string {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	var ids []string
+	for i := range tracker.targets {
+		if target := &tracker.targets[i]; target.Service == service && target.Software != version {
+			ids = append(ids, target.ID)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/coordination/origin/report.go
@@ -0,0 +1,119 @@
+package origin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Report is what an instance tells the others.
+type Report struct {
+	KnownMS  int64     `cbor:"1,keyasint,omitempty"` // time for which the instance knows the versions in service
+	Versions []Version `cbor:"2,keyasint,omitempty"` // that were in service in that time
+	Streams  []Streams `cbor:"3,keyasint,omitempty"`
+}
+
+// Version is a version of a service's targets that is or was in service.
+type Version struct {
+	Service string `cbor:"1,keyasint"`
+	Version string `cbor:"2,keyasint,omitempty"`
+	AgeMS   int64  `cbor:"3,keyasint,omitempty"` // since it was last in service
+}
+
+// Streams are streams that began at one version.
+type Streams struct {
+	Service string   `cbor:"1,keyasint"`
+	Version string   `cbor:"2,keyasint,omitempty"`
+	Hashes  []uint64 `cbor:"3,keyasint"` // of the attempts
+}
+
+// Report returns the report to instances that get one in the given number of rounds.
+func (tracker *Tracker) Report(rounds int) Report {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	now := time.Now()
+	report := Report{KnownMS: min(now.Sub(tracker.knownSince), tracker.memory).Milliseconds()}
+	for _, service := range tracker.services {
+		for _, version := range tracker.versions(service, now) {
+			age := now.Sub(tracker.sightings[sighting{service, version}])
+			report.Versions = append(report.Versions, Version{service, version, age.Milliseconds()})
+		}
+	}
+	report.Streams = tracker.told(rounds)
+	return report
+}
+
+// told returns the streams that began in the latest rounds, or all that are known.
+func (tracker *Tracker) told(rounds int) []Streams {
+	hashes := map[uint64]sighting{}
+	for _, begun := range tracker.begun {
+		if tracker.round-begun.round < tellRounds*rounds {
+			hashes[begun.hash] = begun.sighting
+		}
+	}
+	if tracker.round < tracker.repeatEnd {
+		for _, streams := range []map[uint64]sighting{tracker.current, tracker.previous} {
+			for hash, seen := range streams {
+				if len(hashes) < maxRepeated {
+					hashes[hash] = seen
+				}
+			}
+		}
+	}
+	groups := map[sighting][]uint64{}
+	for hash, seen := range hashes {
+		groups[seen] = append(groups[seen], hash)
+	}
+	told := make([]Streams, 0, len(groups))
+	for seen, hashes := range groups {
+		told = append(told, Streams{seen.service, seen.version, hashes})
+	}
+	slices.SortFunc(told, func(a, b Streams) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	return told
+}
+
+// maxRounds is the greatest number of rounds in which an instance gets one report.
+const maxRounds = 13
+
+// EndRound ends a round of reports.
+func (tracker *Tracker) EndRound() {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	tracker.round++
+	tracker.begun = slices.DeleteFunc(tracker.begun, func(begun begunStream) bool {
+		return tracker.round-begun.round >= tellRounds*maxRounds
+	})
+}
+
+// Repeat has the next reports tell all streams, for an instance that has just started.
+func (tracker *Tracker) Repeat() {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	tracker.repeatEnd = tracker.round + tellRounds + 1
+}
+
+// Merge takes over what another instance tells.
+func (tracker *Tracker) Merge(report Report) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	now := time.Now()
+	for _, version := range report.Versions {
+		seen, at := sighting{version.Service, version.Version}, now.Add(-time.Duration(version.AgeMS)*time.Millisecond)
+		if version.AgeMS >= 0 && at.After(tracker.sightings[seen]) {
+			tracker.sightings[seen] = at
+		}
+	}
+	known := time.Duration(max(0, report.KnownMS)) * time.Millisecond
+	if since := now.Add(-min(known, tracker.memory)); since.Before(tracker.knownSince) {
+		tracker.knownSince = since
+	}
+	for _, group := range report.Streams {
+		for _, hash := range group.Hashes {
+			if _, ok := tracker.current[hash]; !ok {
+				tracker.add(hash, sighting{group.Service, group.Version})
+			}
+		}
+	}
+}
--- a/internal/protocol/site/forward.go
+++ b/internal/protocol/site/forward.go
@@ -12,4 +12,7 @@
 	Service         string
 	ManifestVersion int64         // that the route and the team are taken from
 	Timeout         time.Duration // until the caller's deadline
+	// Software is the version of targets' software at which a stream has to go on, nil
+	// for a stream that the caller has no event of.
+	Software *string
 }
--- a/internal/state/table/stamp_test.go
+++ b/internal/state/table/stamp_test.go
@@ -11,7 +11,9 @@
 )
 
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
 	os.Exit(m.Run())
 }
 
--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -70,6 +70,9 @@
 	// EndsWithConnection states that the body has neither a length nor chunks: a target
 	// that ends while it sends the body may seem to have sent all of it.
 	EndsWithConnection bool
+	// Software is the version of the software of the target that responded to another
+	// instance, nil if that instance does not tell it.
+	Software *string
 }
 
 // CallError is the error of a call without a usable response.
--- a/internal/transport/detour/client.go
+++ b/internal/transport/detour/client.go
@@ -74,6 +74,8 @@
 		Status: header.Status,
 		Header: header.Header,
 		Body:   &responseBody{ctx: ctx, cancel: cancel, stream: stream},
+
+		Software: header.Software,
 	}
 	if response.Header == nil {
 		response.Header = http.Header{}
--- a/internal/transport/detour/detour.go
+++ b/internal/transport/detour/detour.go
@@ -16,6 +16,10 @@
 // procedure is the Connect path of the only call.
 const procedure = "/mangopier.detour.v1.Detour/Serve"
 
+// HeaderSoftware is the name of the response header with which a ServeFunc tells the
+// version of the software of the target that responded. It is not sent as a header.
+const HeaderSoftware = "Mangopier-Software"
+
 // wireRequest is the wire format of a site.ForwardedRequest. The types within it
 // are encoded with the names of their fields.
 type wireRequest struct {
@@ -25,6 +29,7 @@
 	Service         string       `cbor:"4,keyasint"`
 	ManifestVersion int64        `cbor:"5,keyasint"`
 	TimeoutNS       int64        `cbor:"6,keyasint"`
+	Software        *string      `cbor:"7,keyasint,omitempty"`
 }
 
 // wireResponse is the first message of a response, which holds the status and the
@@ -33,6 +38,8 @@
 	Status int                 `cbor:"1,keyasint,omitempty"`
 	Header map[string][]string `cbor:"2,keyasint,omitempty"`
 	Body   []byte              `cbor:"3,keyasint,omitempty"`
+	// Software is the version of the software of the target that responded, nil if none did.
+	Software *string `cbor:"4,keyasint,omitempty"`
 }
 
 func newWireRequest(request *site.ForwardedRequest) *wireRequest {
@@ -43,6 +50,7 @@
 		Service:         request.Service,
 		ManifestVersion: request.ManifestVersion,
 		TimeoutNS:       request.Timeout.Nanoseconds(),
+		Software:        request.Software,
 	}
 	wireRequest.Request.APIKey = ""
 	return wireRequest
@@ -56,5 +64,6 @@
 		Service:         wireRequest.Service,
 		ManifestVersion: wireRequest.ManifestVersion,
 		Timeout:         time.Duration(wireRequest.TimeoutNS),
+		Software:        wireRequest.Software,
 	}
 }
--- a/internal/transport/detour/server.go
+++ b/internal/transport/detour/server.go
@@ -120,7 +120,12 @@
 		return
 	}
 	responseWriter.wroteHeader = true
-	responseWriter.send(&wireResponse{Status: status, Header: responseWriter.header})
+	response := &wireResponse{Status: status, Header: responseWriter.header}
+	if values := responseWriter.header[HeaderSoftware]; len(values) > 0 {
+		response.Software = &values[0]
+		delete(responseWriter.header, HeaderSoftware)
+	}
+	responseWriter.send(response)
 }
 
 // Write sends a part of the body, after the header with status 200 if there was
--- a/internal/transport/node/builds.go
+++ b/internal/transport/node/builds.go
@@ -11,13 +11,16 @@
 // Abilities of this build that decisions of several instances rely on. Instances tell
 // theirs in heartbeats; those of builds without the field have none.
 const (
-	abilitySuspects = "suspects"     // counts crashes against requests and refuses those in quarantine
-	abilityParts    = "prompt-parts" // counts crashes against parts of prompts and refuses those in quarantine
-	abilityLimits   = "limits"       // keeps to its share of the limits that targets name
+	abilitySuspects = "suspects"          // counts crashes against requests and refuses those in quarantine
+	abilityParts    = "prompt-parts"      // counts crashes against parts of prompts and refuses those in quarantine
+	abilityLimits   = "limits"            // keeps to its share of the limits that targets name
+	abilityVersions = "software-versions" // has streams go on at the software version that began them
 )
 
 // Abilities returns the abilities of this build, sorted.
-func Abilities() []string { return []string{abilityLimits, abilityParts, abilitySuspects} }
+func Abilities() []string {
+	return []string{abilityLimits, abilityParts, abilityVersions, abilitySuspects}
+}
 
 // Option configures a Node.
 type Option func(*Node)
--- a/internal/transport/node/detour.go
+++ b/internal/transport/node/detour.go
@@ -31,8 +31,10 @@
 
 // peerReach is what another instance told of itself in its last heartbeat.
 type peerReach struct {
-	accepts  bool     // runs forwarded requests
-	services []string // that it does not reach, or only with difficulty
+	accepts bool // runs forwarded requests
+	// keepsVersions states that the instance has streams go on at a software version only.
+	keepsVersions bool
+	services      []string // that it does not reach, or only with difficulty
 }
 
 // update replaces what is known of an instance.
@@ -42,16 +44,17 @@
 	detours.peers[instance] = peer
 }
 
-// Choose returns a random live instance that reaches a service. It returns false if
-// there is none that is not in except.
-func (detours *detours) Choose(service string, except []string) (string, bool) {
+// Choose returns a random live instance that reaches a service. With resuming, it has
+// streams go on at a software version only. Choose returns false if there is none that
+// is not in except.
+func (detours *detours) Choose(service string, resuming bool, except []string) (string, bool) {
 	live := detours.mesh.LiveMembers()
 	detours.mutex.Lock()
 	defer detours.mutex.Unlock()
 	var able []string
 	for _, member := range live {
 		peer := detours.peers[member.Instance]
-		if peer.accepts && !slices.Contains(peer.services, service) && !slices.Contains(except, member.Instance) {
+		if peer.accepts && (peer.keepsVersions || !resuming) && !slices.Contains(peer.services, service) && !slices.Contains(except, member.Instance) {
 			able = append(able, member.Instance)
 		}
 	}
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"mangopier.example/mangopier/internal/coordination/crash"
+	"mangopier.example/mangopier/internal/coordination/origin"
 	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/coordination/tally"
@@ -44,6 +46,9 @@
 	Build     string   `cbor:"17,keyasint,omitempty"`
 	Abilities []string `cbor:"18,keyasint,omitempty"`
 
+	// Origins holds the software versions in service and at which streams began.
+	Origins origin.Report `cbor:"19,keyasint,omitzero"`
+
 	// A message with one of these is no heartbeat.
 	UsageQuery  *usageQuery  `cbor:"9,keyasint,omitempty"`
 	UsageAnswer *usageAnswer `cbor:"10,keyasint,omitempty"`
@@ -62,6 +67,7 @@
 		AcceptsForwarded: !node.stopping.Load(), LostServices: node.unreachedServices(),
 		Leaving: node.scheduler.LeavingTargets(), Suspects: node.crashes.Report(),
 		Limits: node.scheduler.Limits(), Build: node.build, Abilities: Abilities(),
+		Origins: node.origins.Report(rounds),
 	}
 	node.scheduler.SetMembers(node.settings.Instance, node.limitMembers())
 	if node.crashes.TakeNews() {
@@ -69,6 +75,7 @@
 	}
 	if rounds == 1 { // the last heartbeat of this round
 		node.scheduler.EndReportRound()
+		node.origins.EndRound()
 	}
 	changing := node.duties.PendingStageChanges()
 	if rounds == 1 && node.announcements.next(changing) {
@@ -118,7 +125,14 @@
 	}
 	node.mesh.Add(mesh.Member{Instance: message.Instance, DataCenter: message.DataCenter, Address: from})
 	node.mesh.RecordHeartbeat(message.Instance)
-	node.detours.update(message.Instance, peerReach{accepts: message.AcceptsForwarded, services: message.LostServices})
+	node.detours.update(message.Instance, peerReach{
+		accepts: message.AcceptsForwarded, services: message.LostServices,
+		keepsVersions: slices.Contains(message.Abilities, abilityVersions),
+	})
+	node.origins.Merge(message.Origins)
+	if node.memberBoots.isNew(message.Instance, message.BootID) {
+		node.origins.Repeat()
+	}
 	node.builds.update(message.Instance, message.Build, message.Abilities)
 	node.pauseEngines(message.StageChangesMS)
 	node.markLeaving(message.Instance, message.Leaving)
--- a/internal/transport/node/members.go
+++ b/internal/transport/node/members.go
@@ -72,6 +72,20 @@
 	return true
 }
 
+// memberBoots keeps the runs of the other instances. It is used on the goroutine that
+// receives heartbeats.
+type memberBoots map[string]uint64
+
+// isNew records the run of an instance and reports whether it is another one than before.
+func (boots *memberBoots) isNew(instance string, bootID uint64) bool {
+	if *boots == nil {
+		*boots = memberBoots{}
+	}
+	known := (*boots)[instance]
+	(*boots)[instance] = bootID
+	return known != bootID
+}
+
 // standbyCount is how many instances watch the lease closely, so that at least
 // one remains when a few are lost at once.
 const standbyCount = 5
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -23,6 +23,7 @@
 	"mangopier.example/mangopier/internal/coordination/follow"
 	"mangopier.example/mangopier/internal/coordination/health"
 	"mangopier.example/mangopier/internal/coordination/lease"
+	"mangopier.example/mangopier/internal/coordination/origin"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/coordination/reach"
 	"mangopier.example/mangopier/internal/coordination/tally"
@@ -40,6 +41,9 @@
 
 // Store is the platform's store of versioned rows.
 type Store interface {
+	// Era returns the number of the store's history. It rises when the store is
+	// restored from a copy, which takes back what was written since.
+	Era() uint64
 	Get(ctx context.Context, key string) (table.Row, error)
 	Commit(ctx context.Context, writes ...table.Write) error
 	Put(ctx context.Context, key string, value []byte) error
@@ -132,6 +136,8 @@
 	mesh            *mesh.Mesh
 	reach           *reach.Tracker
 	crashes         *crash.Tracker
+	origins         *origin.Tracker
+	memberBoots     memberBoots
 	detours         *detours
 	detourServer    *detour.Server
 	mirror          *mirror.Mirror
@@ -178,11 +184,16 @@
 		mesh.Callbacks{Compose: node.composeHeartbeat, Receive: node.receiveHeartbeat, MemberDown: node.forgetMember}, logger)
 	node.reach = reach.New(reach.WithLogger(logger))
 	node.crashes = crash.New(crash.WithLogger(logger), crash.WithInstances(settings.Instance, node.mesh.LiveNames))
+	var originOptions []origin.Option
+	if settings.Bootstrap {
+		originOptions = append(originOptions, origin.WithFirstStart())
+	}
+	node.origins = origin.New(originOptions...)
 	node.detours = newDetours(node.mesh)
 	node.proxy = proxy.New(codec, node.client, node.scheduler, node.health, node,
 		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
 		proxy.WithInstanceCount(node.retryInstanceCount), proxy.WithPeers(node.detours, node.reach),
-		proxy.WithCrashTracker(node.crashes), proxy.WithResponseMemory(settings.MemoryBytes/bodyMemoryDivisor))
+		proxy.WithCrashTracker(node.crashes), proxy.WithOrigins(node.origins), proxy.WithResponseMemory(settings.MemoryBytes/bodyMemoryDivisor))
 	node.detourServer = node.newDetourServer()
 	node.roster = roster.New(codec.DecodeTarget, node.setTargets, logger)
 	node.mirror = mirror.New()
@@ -215,7 +226,7 @@
 	client := mirror.NewClient()
 	manifests := node.follow(manifestTable, node.store.ManifestSource(), manifestApplier{node}, client)
 	targets := node.follow(targetTable, node.store.TargetSource(), node.roster, client)
-	node.loopsDone = append(node.loopsDone, manifests.Start(ctx), targets.Start(ctx), node.syncMembers(ctx), node.fetchNewerManifests(ctx, client), node.probeTargets(ctx), node.duties.Start(ctx))
+	node.loopsDone = append(node.loopsDone, manifests.Start(ctx), targets.Start(ctx), node.syncMembers(ctx), node.fetchNewerManifests(ctx, client), node.probeTargets(ctx), node.keepVersions(ctx), node.duties.Start(ctx))
 	node.leaseDone = node.lease.Start(ctx)
 	return nil
 }
@@ -303,6 +314,7 @@
 	node.targets.Store(&targets)
 	node.reach.SetTargets(targets)
 	node.crashes.SetTargets(targets)
+	node.origins.SetTargets(targets)
 	node.updateTargets()
 }
 
@@ -340,6 +352,9 @@
 			node.logger.Error().Str("part", "node").Err(err).Uint64("row-version", change.Version).Msg("manifest row cannot be decoded; row ignored")
 			continue
 		}
+		if current := node.proxy.Manifest(); current == nil || current.Version < manifest.Version {
+			node.origins.SetManifest(manifest)
+		}
 		if node.proxy.SetManifest(manifest) {
 			node.logger.Info().Str("part", "node").Int64("manifest", manifest.Version).Int("routes", len(manifest.Routes)).
 				Int("keys", len(manifest.Teams)).Uint64("row-version", change.Version).Msg("manifest in force")
--- a/internal/transport/node/node_test.go
+++ b/internal/transport/node/node_test.go
@@ -81,7 +81,14 @@
 // addresses of the platform's services; ports are the peer and the metrics port.
 func startNode(t *testing.T, name, ip, store, control string, ports [2]int, log io.Writer) (*node.Node, site.Settings) {
 	t.Helper()
-	settings := site.Settings{
+	settings := nodeSettings(t, name, ip, store, control, ports)
+	return startNodeWith(t, settings, log), settings
+}
+
+// nodeSettings returns the settings of an instance, see startNode.
+func nodeSettings(t *testing.T, name, ip, store, control string, ports [2]int) site.Settings {
+	t.Helper()
+	return site.Settings{
 		Instance: name, IP: ip, DataCenter: "tas-a", Bootstrap: true,
 		ListenAddress: fmt.Sprintf("%s:%d", ip, freePort(t)), ReadinessAddress: fmt.Sprintf("%s:%d", ip, freePort(t)),
 		PeerPort: ports[0], MetricsPort: ports[1], StoreAddress: store, ControlAddress: control, MemoryBytes: 256 << 20,
@@ -91,11 +98,15 @@
 		},
 		Duties: site.Duties{Usage: true},
 	}
-	instance := node.New(settings, platform.NewStore(store), platform.NewControl(control), platform.Codec{}, zerolog.New(log), node.WithBuild("test-build"))
+}
+
+func startNodeWith(t *testing.T, settings site.Settings, log io.Writer) *node.Node {
+	t.Helper()
+	instance := node.New(settings, platform.NewStore(settings.StoreAddress), platform.NewControl(settings.ControlAddress), platform.Codec{}, zerolog.New(log), node.WithBuild("test-build"))
 	if err := instance.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
-	return instance, settings
+	return instance
 }
 
 // eventually waits until a condition holds, at most until the deadline of the
@@ -192,7 +203,7 @@
 	if interrupted := first.Stop() + second.Stop(); interrupted != 0 {
 		t.Errorf("first.Stop() + second.Stop() = %d interrupted requests, want 0", interrupted)
 	}
-	if !log.contains(`"build":"test-build","abilities":["limits","prompt-parts","suspects"]`) {
+	if !log.contains(`"build":"test-build","abilities":["limits","prompt-parts","software-versions","suspects"]`) {
 		t.Error("log has no message about the build of the other instance")
 	}
 	if !log.contains("target row cannot be decoded; target not used") {
--- a/internal/transport/node/store_test.go
+++ b/internal/transport/node/store_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -260,6 +261,14 @@
 	store.write(storedRow{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString([]byte(value))})
 }
 
+// contains reports whether a row of the instances holds a text.
+func (store *fakeStore) contains(key, text string) bool {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	value, err := base64.StdEncoding.DecodeString(store.rows["mangopier/"+key].Value)
+	return err == nil && strings.Contains(string(value), text)
+}
+
 // remove deletes a row on behalf of a target.
 func (store *fakeStore) remove(table, key string) {
 	store.mutex.Lock()
--- /dev/null
+++ b/internal/transport/node/versions.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"mangopier.example/mangopier/internal/coordination/lease"
+	"mangopier.example/mangopier/internal/coordination/pause"
+	"mangopier.example/mangopier/internal/protocol/code"
+)
+
+const (
+	// versionsKey is the key of the row with the software versions that may have begun
+	// streams which can still be taken up. Instances that are all started again read it.
+	versionsKey = "stream-versions"
+	// versionsInterval is the time between two looks for changes of these versions.
+	versionsInterval = 250 * time.Millisecond
+	// versionsWriters is how many instances keep the row up to date.
+	versionsWriters = 2
+)
+
+// versionsRow is the value of the row.
+type versionsRow struct {
+	Versions map[string][]string `json:"versions"` // by service
+}
+
+// keepVersions reads the versions that were in service before the start and then keeps
+// the row up to date, until ctx ends.
+func (node *Node) keepVersions(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for !node.settings.Bootstrap && !node.readVersions(ctx) {
+			if !pause.For(ctx, memberRetryDelay) {
+				return
+			}
+		}
+		var written map[string][]string
+		var era uint64
+		for pause.For(ctx, versionsInterval) {
+			versions := node.origins.Versions()
+			if versions == nil || !node.writesVersions() || (maps.EqualFunc(versions, written, slices.Equal[[]string]) && era == node.store.Era()) {
+				continue
+			}
+			current := node.store.Era()
+			if node.writeVersions(ctx, versions) {
+				written, era = versions, current
+			}
+		}
+	}()
+	return done
+}
+
+// writesVersions reports whether this instance keeps the row up to date. Soon after the
+// start it does not know the other instances.
+func (node *Node) writesVersions() bool {
+	return time.Since(node.startTime) > limitSettleTime &&
+		lease.IsStandby(versionsKey, node.settings.Instance, node.mesh.LiveNames(), versionsWriters)
+}
+
+// readVersions returns false if the store cannot be read. Without a row, the versions
+// of before are not known.
+func (node *Node) readVersions(ctx context.Context) bool {
+	row, err := node.store.Get(ctx, versionsKey)
+	if code.Is(err, code.RowMissing) {
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	var versions versionsRow
+	if err := json.Unmarshal(row.Value, &versions); err != nil {
+		node.logger.Warn().Str("part", "node").Err(err).Str("row", versionsKey).Msg("malformed row ignored")
+		return true
+	}
+	node.origins.Restore(versions.Versions)
+	node.logger.Info().Str("part", "node").Any("versions", versions.Versions).Msg("software versions of before the start")
+	return true
+}
+
+func (node *Node) writeVersions(ctx context.Context, versions map[string][]string) bool {
+	value, err := json.Marshal(versionsRow{versions}, json.Deterministic(true))
+	if err == nil {
+		err = node.store.Put(ctx, versionsKey, value)
+	}
+	if err != nil {
+		node.logger.Warn().Str("part", "node").Err(err).Msg("software versions in service cannot be written")
+		pause.For(ctx, memberRetryDelay)
+		return false
+	}
+	return true
+}
--- a/internal/transport/proxy/detour.go
+++ b/internal/transport/proxy/detour.go
@@ -15,9 +15,10 @@
 // Peers are the other instances, which run requests for this one while it does not
 // reach the targets of a service.
 type Peers interface {
-	// Choose returns an instance that reaches a service and is not in except. It
-	// returns false if there is none.
-	Choose(service string, except []string) (instance string, ok bool)
+	// Choose returns an instance that reaches a service and is not in except. With
+	// resuming, it has a stream go on at a software version only. It returns false if
+	// there is none.
+	Choose(service string, resuming bool, except []string) (instance string, ok bool)
 	// Do has an instance run a request. Errors are of type *back.CallError.
 	Do(ctx context.Context, instance string, request *site.ForwardedRequest) (*back.Response, error)
 }
@@ -31,7 +32,7 @@
 // noPeers is the default of WithPeers.
 type noPeers struct{}
 
-func (noPeers) Choose(string, []string) (string, bool) { return "", false }
+func (noPeers) Choose(string, bool, []string) (string, bool) { return "", false }
 
 func (noPeers) Do(context.Context, string, *site.ForwardedRequest) (*back.Response, error) {
 	return nil, &back.CallError{State: back.NotSent, Err: code.Errorf(code.PeerUnreachable, "no other instance is known")}
@@ -64,6 +65,9 @@
 		return code.Errorf(code.NoTarget, "the manifest has no service for the route")
 	}
 	exchange.service = service
+	if request.Software != nil {
+		exchange.origin = streamOrigin{begun: true, known: true, version: *request.Software}
+	}
 	return nil
 }
 
@@ -74,7 +78,7 @@
 	if !exchange.shouldForward(stage, unsent, local) {
 		return "", false
 	}
-	peer, ok := exchange.proxy.peers.Choose(exchange.service.Name, tried)
+	peer, ok := exchange.proxy.peers.Choose(exchange.service.Name, exchange.origin.begun, tried)
 	return peer, ok && exchange.payArrival()
 }
 
@@ -144,5 +148,9 @@
 	forwarded.Route.MaxAttempts = 1
 	forwarded.Request.APIKey = ""
 	forwarded.Request.LastEventID = lastEventID
+	if exchange.origin.begun {
+		version := exchange.origin.version
+		forwarded.Software = &version
+	}
 	return forwarded
 }
--- a/internal/transport/proxy/detour_test.go
+++ b/internal/transport/proxy/detour_test.go
@@ -25,7 +25,7 @@
 }
 
 // Choose returns the first instance that is not in except.
-func (peers *fakePeers) Choose(_ string, except []string) (string, bool) {
+func (peers *fakePeers) Choose(_ string, _ bool, except []string) (string, bool) {
 	for _, instance := range peers.instances {
 		excluded := false
 		for _, other := range except {
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -35,6 +35,7 @@
 	team     site.Team
 	service  site.Service
 
+	origin        streamOrigin
 	features      requestFeatures
 	admission     *crash.Admission
 	reservedBytes atomic.Int64  // of the response memory
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -104,10 +104,14 @@
 // counted at its engine until it is released. It returns nil if there is none.
 func (generation *generation) choose(except []string) *decodeRun {
 	exchange := generation.exchange
-	if exchange.isQuarantined() {
+	if exchange.isQuarantined() || (exchange.origin.begun && !exchange.origin.known) {
 		return nil
 	}
-	assignment, ok := exchange.proxy.scheduler.AssignDecode(exchange.service.Name, exchange.request.Prompt, generation.dataCenter, except)
+	assignment, ok := exchange.proxy.scheduler.AssignDecode(exchange.service.Name, exchange.request.Prompt, generation.dataCenter, exchange.withoutOtherVersions(except))
+	if ok && !exchange.fits(&assignment) {
+		exchange.proxy.scheduler.Release(&assignment)
+		ok = false
+	}
 	peer, found := exchange.choosePeer(site.Decode, generation.unsent, ok, except)
 	run := &decodeRun{assignment: assignment}
 	switch {
--- a/internal/transport/proxy/harness_test.go
+++ b/internal/transport/proxy/harness_test.go
@@ -15,6 +15,7 @@
 
 	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/health"
+	"mangopier.example/mangopier/internal/coordination/origin"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/protocol/site"
 	"mangopier.example/mangopier/internal/transport/back"
@@ -29,6 +30,7 @@
 	proxy     *proxy.Proxy
 	scheduler *place.Scheduler
 	crashes   *crash.Tracker
+	origins   *origin.Tracker
 	front     *httptest.Server
 	log       *logBuffer
 	targets   []site.Target
@@ -76,11 +78,14 @@
 
 func newHarness(t *testing.T, opts ...proxy.Option) *harness {
 	t.Helper()
-	harness := &harness{t: t, log: &logBuffer{}, usageCounts: map[string]int{}, scheduler: place.New(place.WithDataCenter("tas-a")), crashes: crash.New()}
+	harness := &harness{
+		t: t, log: &logBuffer{}, usageCounts: map[string]int{}, scheduler: place.New(place.WithDataCenter("tas-a")),
+		crashes: crash.New(), origins: origin.New(origin.WithFirstStart()),
+	}
 	codec := platform.Codec{}
 	client := back.New(back.WithHeaderNames(codec.AttemptHeader(), codec.NotRunHeader()))
 	opts = append([]proxy.Option{
-		proxy.WithLogger(zerolog.New(harness.log)), proxy.WithCrashTracker(harness.crashes),
+		proxy.WithLogger(zerolog.New(harness.log)), proxy.WithCrashTracker(harness.crashes), proxy.WithOrigins(harness.origins),
 		proxy.WithBounds(site.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, ExtraRetries: 600, MaxRetryAfter: 10 * time.Second}),
 	}, opts...)
 	harness.scheduler.SetMembers("a", []string{"a"})
@@ -91,6 +96,7 @@
 		client.Close()
 		harness.proxy.Wait()
 	})
+	harness.origins.SetManifest(testManifest(1))
 	harness.proxy.SetManifest(testManifest(1))
 	return harness
 }
@@ -127,6 +133,12 @@
 // startTarget starts a fake target that responds with handler, and adds it to
 // the target list.
 func (harness *harness) startTarget(id, service string, stage site.Stage, handler http.HandlerFunc) *httptest.Server {
+	harness.t.Helper()
+	return harness.startVersion(id, service, stage, "", handler)
+}
+
+// startVersion is startTarget for a target with a version of its software.
+func (harness *harness) startVersion(id, service string, stage site.Stage, software string, handler http.HandlerFunc) *httptest.Server {
 	harness.t.Helper()
 	server := httptest.NewServer(handler)
 	harness.t.Cleanup(func() {
@@ -134,7 +146,7 @@
 		server.Close()
 	})
 	harness.addTarget(site.Target{
-		ID: id, Service: service, Address: server.Listener.Addr().String(), DataCenter: "tas-a", Slots: 6, Stage: stage,
+		ID: id, Service: service, Software: software, Address: server.Listener.Addr().String(), DataCenter: "tas-a", Slots: 6, Stage: stage,
 	})
 	return server
 }
@@ -143,6 +155,7 @@
 	harness.targets = append(harness.targets, target)
 	harness.scheduler.SetTargets(harness.targets, harness.proxy.Manifest().Services)
 	harness.crashes.SetTargets(harness.targets)
+	harness.origins.SetTargets(harness.targets)
 }
 
 // respondPrefilled responds as an engine that prefilled the prompt or released
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -66,7 +66,11 @@
 	if err := exchange.quarantineError(); err != nil {
 		return nil, err
 	}
-	assignment, callsPerSlot, ok := exchange.proxy.scheduler.AssignCall(exchange.service.Name, calls.tried)
+	assignment, callsPerSlot, ok := exchange.proxy.scheduler.AssignCall(exchange.service.Name, exchange.withoutOtherVersions(calls.tried))
+	if ok && !exchange.fits(&assignment) {
+		calls.release(&plainCall{assignment: assignment})
+		ok = false
+	}
 	if peer, found := exchange.choosePeer(site.NoStage, calls.unsent, ok, calls.tried); found {
 		if ok {
 			exchange.proxy.scheduler.Release(&assignment)
@@ -241,6 +245,9 @@
 	}
 	exchange.recordFailedCall(target, call.stage(), name, result.bodyErr, call.started)
 	if outcome == outcomeSucceeded {
+		if exchange.route.Kind == site.Stream {
+			exchange.beginAt(software(&call.assignment.Target, call.peer, result.response))
+		}
 		exchange.deliver(result.response, result.body)
 	}
 	return outcome
--- a/internal/transport/proxy/prefill.go
+++ b/internal/transport/proxy/prefill.go
@@ -167,7 +167,7 @@
 	if !exchange.shouldForward(site.Prefill, stage.unsent, true) {
 		return false
 	}
-	_, ok := exchange.proxy.peers.Choose(exchange.service.Name, nil)
+	_, ok := exchange.proxy.peers.Choose(exchange.service.Name, exchange.origin.begun, nil)
 	return ok
 }
 
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -20,6 +20,7 @@
 
 	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/health"
+	"mangopier.example/mangopier/internal/coordination/origin"
 	"mangopier.example/mangopier/internal/coordination/place"
 	"mangopier.example/mangopier/internal/coordination/reach"
 	"mangopier.example/mangopier/internal/coordination/retry"
@@ -87,6 +88,12 @@
 	return func(proxy *Proxy) { proxy.crashes = tracker }
 }
 
+// WithOrigins sets the tracker of the software versions at which streams began. It has to
+// be told the list of targets and the manifest. By default no version is listed.
+func WithOrigins(origins *origin.Tracker) Option {
+	return func(proxy *Proxy) { proxy.origins = origins }
+}
+
 // Proxy is the http.Handler of callers' requests. Its methods may be called by
 // several goroutines.
 type Proxy struct {
@@ -98,6 +105,7 @@
 	peers         Peers
 	reach         *reach.Tracker
 	crashes       *crash.Tracker
+	origins       *origin.Tracker
 	memory        responseMemory
 	bounds        site.Bounds
 	instanceCount func() int
@@ -121,6 +129,7 @@
 	proxy := &Proxy{
 		codec: codec, client: client, scheduler: scheduler, health: tracker, meter: meter,
 		peers: noPeers{}, reach: reach.New(), crashes: crash.New(),
+		origins:       origin.New(origin.WithFirstStart()),
 		memory:        responseMemory{limit: defaultResponseMemory},
 		instanceCount: func() int { return 1 },
 		logger:        zerolog.Nop(),
@@ -191,6 +200,10 @@
 		exchange.refuse(err)
 		return
 	}
+	if err := exchange.findOrigin(ctx); err != nil {
+		exchange.refuse(err)
+		return
+	}
 	if !exchange.forwarded { // the other instance has counted it
 		exchange.proxy.retryBudget(exchange.service.Name).CountRequest()
 	}
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -40,9 +40,14 @@
 }
 
 // forward sends the pending complete events of a run to the caller. It returns false
-// if the stream cannot go on: the caller has gone, or an event is too large.
+// if the stream cannot go on: the caller has gone, an event is too large, or the run's
+// events do not fit to those that the caller has.
 func (stream *stream) forward(run *decodeRun) bool {
 	if run.eventsEnd > 0 {
+		if !stream.exchange.beginStream(run) {
+			stream.endReason, stream.endErr = "other-version", nil
+			return false
+		}
 		run.hasSent = true
 		if !stream.writeEvents(run.response, run.pending[:run.eventsEnd]) {
 			return false
