A refusal that a target repeats is not taken for the answer to a later request

An operator's report: a faulty target wrote an earlier refusal once more on a kept connection; callers were told 'not run, try again' for requests that had run, or such a request ran at a second target. It can happen here, in two ways:

- the refusal carries no ID of its attempt.
It was believed; only another ID was rejected.
- the refusal belongs to an earlier try of the same attempt, so that its ID is the expected one.

Now a refusal without an ID counts on a new connection only, on which there is no earlier one, and an attempt that a target has refused is sent there on a new connection, so that a copy of the refusal cannot arrive in place of its answer.

--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -124,6 +124,7 @@
 	pools    sync.Map        // by address, of *pool
 	created  time.Time       // from which the pools count the time of their last use
 	unpooled *http.Transport // opens a new connection for each call
+	refusals refusals
 }
 
 // New returns a client without connections.
@@ -148,9 +149,12 @@
 // the body too. A call whose connection is reset closes the idle connections to
 // its target, since a target that lost its state resets them all.
 func (client *Client) Do(ctx context.Context, call *Call) (*Response, error) {
-	var sent atomic.Bool
+	var sent, reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			sent.Store(true)
+			reused.Store(info.Reused)
+		},
 	})
 	request, err := client.newRequest(ctx, call)
 	if err != nil {
@@ -163,10 +167,10 @@
 		}
 		return nil, &CallError{State: callState(&sent), Err: contextCause(ctx, err)}
 	}
-	if echoedID := response.Header.Get(client.attemptIDHeader); echoedID != "" && echoedID != call.AttemptID {
+	if err := client.checkAttempt(call, response, reused.Load()); err != nil {
 		_ = response.Body.Close()
 		client.DropConnections(call.Address)
-		return nil, &CallError{State: MayHaveRun, Err: errWrongAttempt}
+		return nil, &CallError{State: MayHaveRun, Err: err}
 	}
 	return &Response{
 		Status:  response.StatusCode,
@@ -178,6 +182,25 @@
 	}, nil
 }
 
+// checkAttempt returns an error if a response belongs to another attempt, or may: a faulty
+// target may send a response once more where a later one is due. A refusal of the same
+// attempt is told from its copy by the connection, since later calls of that attempt use a
+// new one.
+func (client *Client) checkAttempt(call *Call, response *http.Response, reused bool) error {
+	echoedID := response.Header.Get(client.attemptIDHeader)
+	if echoedID != "" && echoedID != call.AttemptID {
+		return errWrongAttempt
+	}
+	if response.Header.Get(client.notRunHeader) == "" && response.StatusCode != http.StatusMisdirectedRequest {
+		return nil
+	}
+	if echoedID == "" && call.AttemptID != "" && reused {
+		return errNoAttempt
+	}
+	client.refusals.add(call)
+	return nil
+}
+
 // DropConnections discards the connection pool of a target: idle connections
 // are closed now, those in use after their calls. Later calls open new
 // connections.
@@ -291,7 +314,7 @@
 }
 
 func (client *Client) transportFor(call *Call) *http.Transport {
-	if !call.Repeatable && !call.ReuseConnection {
+	if (!call.Repeatable && !call.ReuseConnection) || client.refusals.contains(call) {
 		return client.unpooled
 	}
 	now := time.Since(client.created)
@@ -351,4 +374,7 @@
 	return err
 }
 
-var errWrongAttempt = errors.New("response carries the ID of another attempt")
+var (
+	errWrongAttempt = errors.New("response carries the ID of another attempt")
+	errNoAttempt    = errors.New("refusal on a used connection carries no ID of an attempt")
+)
