--- a/internal/transport/node/odd_test.go
+++ b/internal/transport/node/odd_test.go
@@ -31,7 +31,7 @@
 	defer instance.Stop()
 	eventually(t, "the instance is ready", instance.Ready)
 	for id := range odd {
-		if !log.contains(fmt.Sprintf(`"target":%q,"time"`, id)) {
+		if !log.contains(fmt.Sprintf(`"target":%q,"message":"target row cannot be decoded`, id)) {
 			t.Errorf("log has no message about the row %s", id)
 		}
 	}
