Each status of a target reaches the caller

Cause: the server library ignores a status that net/http.StatusText does not know, and writes 200 with the first byte of the body. Statuses below 200, which a target may send too, went the same way.

Now the library writes such a response with another status, which the connection replaces in the status line. A response without a final status of HTTP is broken: the request may have run, and the caller gets 502 or 504 with its code.

--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -167,7 +167,11 @@
 		}
 		return nil, &CallError{State: callState(&sent), Err: contextCause(ctx, err)}
 	}
-	if err := client.checkAttempt(call, response, reused.Load()); err != nil {
+	err = client.checkAttempt(call, response, reused.Load())
+	if response.StatusCode < http.StatusOK {
+		err = errInvalidStatus
+	}
+	if err != nil {
 		_ = response.Body.Close()
 		client.DropConnections(call.Address)
 		return nil, &CallError{State: MayHaveRun, Err: err}
@@ -375,6 +379,7 @@
 }
 
 var (
-	errWrongAttempt = errors.New("response carries the ID of another attempt")
-	errNoAttempt    = errors.New("refusal on a used connection carries no ID of an attempt")
+	errWrongAttempt  = errors.New("response carries the ID of another attempt")
+	errInvalidStatus = errors.New("response has no final status of HTTP")
+	errNoAttempt     = errors.New("refusal on a used connection carries no ID of an attempt")
 )
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -1,9 +1,14 @@
 package front
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net"
+	"net/http"
 	"os"
+	"slices"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,9 +32,10 @@
 
 	writtenBytes atomic.Int64
 	sentBytes    atomic.Int64
-	failed       atomic.Bool // a write has failed
-	closing      atomic.Bool // Close has been called
-	ended        bool        // the caller has been sent the end; guarded by the lock of raw
+	status       atomic.Int32 // to be written in place of placeholderStatus, 0 for none
+	failed       atomic.Bool  // a write has failed
+	closing      atomic.Bool  // Close has been called
+	ended        bool         // the caller has been sent the end; guarded by the lock of raw
 }
 
 // newConn wraps a connection. Writes return when ctx ends.
@@ -41,19 +47,44 @@
 	}
 }
 
+// placeholderStatus is the status that the library writes where the connection puts
+// another one.
+const placeholderStatus = http.StatusBadGateway
+
+// replaceStatus has the next response that is written with placeholderStatus get another
+// status, of three digits.
+func (conn *conn) replaceStatus(status int) { conn.status.Store(int32(status)) }
+
+// placeStatus returns data with the pending status, if data begins a response.
+func (conn *conn) placeStatus(data []byte) []byte {
+	status := conn.status.Load()
+	if status == 0 {
+		return data
+	}
+	line := " " + strconv.Itoa(placeholderStatus) + " " + http.StatusText(placeholderStatus) + "\r\n"
+	protocol, rest, found := bytes.Cut(data, []byte(line))
+	if !found || len(protocol) != len("HTTP/1.1") {
+		return data
+	}
+	conn.status.Store(0)
+	return slices.Concat(protocol, fmt.Appendf(nil, " %03d \r\n", status), rest)
+}
+
 // Write queues data for the caller. It waits while the buffer is full, since the
 // library closes a connection whose buffer overflows. It returns net.ErrClosed
 // after Close and os.ErrDeadlineExceeded if the caller does not read.
 func (conn *conn) Write(data []byte) (int, error) {
+	unchanged := len(data)
+	data = conn.placeStatus(data)
 	for written := 0; written < len(data); {
 		piece := data[written:min(len(data), written+conn.pieceBytes())]
 		if err := conn.writePiece(piece); err != nil {
 			conn.failed.Store(true)
-			return written, err
+			return min(written, unchanged), err
 		}
 		written += len(piece)
 	}
-	return len(data), nil
+	return unchanged, nil
 }
 
 // pieceBytes returns how much is written at once. Half of the buffer lets one piece
--- a/internal/transport/front/writer.go
+++ b/internal/transport/front/writer.go
@@ -32,8 +32,15 @@
 // Header returns the header to be sent.
 func (writer *writer) Header() http.Header { return writer.response.Header() }
 
-// WriteHeader sets the status.
-func (writer *writer) WriteHeader(status int) { writer.response.WriteHeader(status) }
+// WriteHeader sets the status. The library ignores a status that has no registered name,
+// and would write 200; the connection writes it in place of another one.
+func (writer *writer) WriteHeader(status int) {
+	if http.StatusText(status) == "" {
+		writer.conn.replaceStatus(status)
+		status = placeholderStatus
+	}
+	writer.response.WriteHeader(status)
+}
 
 // Write writes a part of the body. It returns net.ErrClosed if an earlier part could
 // not be sent.
