No fencing token is given out twice after a restore of the store

Cause: a takeover is numbered by the row of the lease, and that row went back or was gone. The holder of the lost takeover did not notice, and missing or released rows let the next one take over and act at once.

Now a holder stops on a new era of the store, and nobody takes the lease over within a lease duration of it. Epochs of an era begin at a million times its number, so that they are above all earlier ones whoever remembers them. Only the first holder of a site's first start acts without the wait for an earlier one. Stores that name no era keep the numbering.

Open: a usage window whose row is gone, and conditional writes on versions of an earlier era (docs/DESIGN.md, Promises by path).

--- a/internal/coordination/duty/duty_test.go
+++ b/internal/coordination/duty/duty_test.go
@@ -23,7 +23,7 @@
 
 func (fakeLease *fakeLease) Held() (lease.Grant, bool) {
 	epoch := fakeLease.epoch.Load()
-	return lease.Grant{Epoch: epoch}, epoch > 0
+	return lease.Grant{Epoch: epoch, First: epoch == 1}, epoch > 0
 }
 
 // fakePlatform records the orders that it receives.
--- a/internal/coordination/duty/tenure.go
+++ b/internal/coordination/duty/tenure.go
@@ -19,8 +19,8 @@
 
 // held returns the grant and whether this instance may act under it. It may once
 // it has held the lease for delay: the last action of an earlier holder is then
-// longer ago than the period in which holders must not alternate. The holder of
-// epoch 1 has no predecessor and need not wait.
+// longer ago than the period in which holders must not alternate. The first holder
+// has no predecessor and need not wait.
 func (delayedLease *delayedLease) held() (lease.Grant, bool) {
 	grant, ok := delayedLease.lease.Held()
 	if !ok {
@@ -31,5 +31,5 @@
 	if grant.Epoch != delayedLease.epoch {
 		delayedLease.epoch, delayedLease.heldSince = grant.Epoch, time.Now()
 	}
-	return grant, grant.Epoch == 1 || time.Since(delayedLease.heldSince) >= delayedLease.delay
+	return grant, grant.First || time.Since(delayedLease.heldSince) >= delayedLease.delay
 }
--- a/internal/coordination/lease/contest.go
+++ b/internal/coordination/lease/contest.go
@@ -16,9 +16,16 @@
 	consecutiveFailures int    // of store calls
 	takeoverAttempts    uint64 // part of the nonces of takeovers
 	heartbeatMissing    bool   // the last read found an epoch row and no heartbeat row
+	era                 uint64
+	// unsureSince is the time from which on there may be a holder whose rows the table
+	// does not have.
+	unsureSince time.Time
 }
 
 func (candidate *candidate) run(ctx context.Context) error {
+	if !candidate.lease.options.firstStart {
+		candidate.unsureSince = time.Now()
+	}
 	for ctx.Err() == nil {
 		delay := candidate.step(ctx)
 		pause.For(ctx, delay)
@@ -29,12 +36,40 @@
 // step renews the lease or checks the holder's heartbeat once. It returns the
 // delay before the next step.
 func (candidate *candidate) step(ctx context.Context) time.Duration {
+	candidate.followEra()
 	if candidate.ownership != nil {
 		return candidate.renew(ctx)
 	}
 	return candidate.checkHeartbeat(ctx)
 }
 
+// followEra ends the ownership, and what was observed, when the table has been restored
+// from a copy. It returns true then. The era is known from the first call of the table on.
+func (candidate *candidate) followEra() bool {
+	era := candidate.lease.options.era()
+	restored := candidate.era != 0 && era != candidate.era
+	candidate.era = era
+	if !restored {
+		return false
+	}
+	candidate.unsureSince, candidate.observed, candidate.heartbeatMissing = time.Now(), observation{}, false
+	candidate.lease.options.logger.Warn().Uint64("era", era).Bool("holder", candidate.ownership != nil).
+		Msg("table was restored from a copy; the lease is taken over anew")
+	if candidate.ownership != nil {
+		candidate.dropOwnership()
+	}
+	return true
+}
+
+// untilSure returns how long an unknown holder may still count itself as one, 0 if there
+// is none.
+func (candidate *candidate) untilSure() time.Duration {
+	if candidate.unsureSince.IsZero() {
+		return 0
+	}
+	return max(0, candidate.lease.options.duration-time.Since(candidate.unsureSince))
+}
+
 // recordFailure counts a failed store call and returns the backoff before the
 // next one. Only the first failure in a row is logged.
 func (candidate *candidate) recordFailure(err error, action string) time.Duration {
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -30,9 +30,10 @@
 
 // Grant proves that a process took the lease over with the given epoch.
 type Grant struct {
-	Epoch   uint64 // increases with each takeover, starting at 1
+	Epoch   uint64 // increases with each takeover, also over restores of the table from a copy
 	Key     string // key of the epoch row
 	Version uint64 // version of the epoch row
+	First   bool   // there was no holder before
 }
 
 // Condition returns the condition to include in every transaction that acts
@@ -97,6 +98,7 @@
 // renewal is a renewal or takeover that took effect.
 type renewal struct {
 	grant  Grant
+	era    uint64 // in which the lease was taken over
 	sentAt clockReading
 }
 
@@ -111,8 +113,12 @@
 
 // isValid reports whether the lease is still held on the strength of renewal.
 // Clocks that diverge can mean that the machine slept while its monotonic clock
-// stood still, so that the lease expired unnoticed.
+// stood still, so that the lease expired unnoticed. A restore of the table takes back
+// the renewal.
 func (lease *Lease) isValid(renewal *renewal) bool {
+	if renewal.era != lease.options.era() {
+		return false
+	}
 	elapsed := time.Since(renewal.sentAt.monotonic)
 	if elapsed >= lease.options.duration-lease.options.safetyMargin() {
 		return false
--- a/internal/coordination/lease/option.go
+++ b/internal/coordination/lease/option.go
@@ -32,6 +32,8 @@
 	duration   time.Duration
 	wallClock  func() time.Time
 	standby    func() bool
+	era        func() uint64
+	firstStart bool
 	randSource rand.Source
 	logger     zerolog.Logger
 	registerer prometheus.Registerer
@@ -60,6 +62,18 @@
 	return func(options *options) { options.standby = standby }
 }
 
+// WithEra sets the function that returns the number of the table's history, which rises
+// when the table is restored from a copy. Without this option it stays 0.
+func WithEra(era func() uint64) Option {
+	return func(options *options) { options.era = era }
+}
+
+// WithFirstStart sets whether all processes start for the first time, as they do without
+// this option. Otherwise there may be a holder although the table has no rows of the lease.
+func WithFirstStart(firstStart bool) Option {
+	return func(options *options) { options.firstStart = firstStart }
+}
+
 // WithRandSource sets the source of the random numbers that spread renewals and
 // retries.
 func WithRandSource(randSource rand.Source) Option {
@@ -82,7 +96,10 @@
 		duration:  DefaultDuration,
 		wallClock: func() time.Time { return time.Now().Round(0) },
 		standby:   func() bool { return true },
-		logger:    zerolog.Nop(),
+		era:       func() uint64 { return 0 },
+
+		firstStart: true,
+		logger:     zerolog.Nop(),
 	}
 }
 
--- a/internal/coordination/lease/tenure.go
+++ b/internal/coordination/lease/tenure.go
@@ -12,6 +12,8 @@
 // another one.
 type ownership struct {
 	epoch            uint64
+	era              uint64 // of the table at the takeover
+	first            bool   // there was no holder before
 	nonce            string
 	grant            Grant
 	heartbeatVersion uint64       // version of the heartbeat row, 0 if the row has to be read
@@ -75,17 +77,22 @@
 // response arrived.
 func (candidate *candidate) extendValidity() {
 	ownership := candidate.ownership
-	candidate.lease.lastRenewal.Store(&renewal{grant: ownership.grant, sentAt: ownership.sentAt})
+	candidate.lease.lastRenewal.Store(&renewal{grant: ownership.grant, era: ownership.era, sentAt: ownership.sentAt})
 }
 
-func (candidate *candidate) endOwnership(successor heartbeatRecord) {
+// dropOwnership ends the ownership of this process.
+func (candidate *candidate) dropOwnership() {
 	lease := candidate.lease
 	lease.lastRenewal.Store(nil)
 	candidate.ownership = nil
 	candidate.observed = observation{}
 	lease.options.metrics.losses.Inc()
 	lease.options.metrics.epoch.Set(0)
-	lease.options.logger.Warn().Uint64("epoch", successor.Epoch).
+}
+
+func (candidate *candidate) endOwnership(successor heartbeatRecord) {
+	candidate.dropOwnership()
+	candidate.lease.options.logger.Warn().Uint64("epoch", successor.Epoch).
 		Str("holder", successor.Holder).Msg("lease lost to another instance")
 }
 
--- a/internal/coordination/lease/watch.go
+++ b/internal/coordination/lease/watch.go
@@ -21,8 +21,14 @@
 // free. It returns the delay before the next step.
 func (candidate *candidate) checkHeartbeat(ctx context.Context) time.Duration {
 	row, err := candidate.readRow(ctx, candidate.lease.heartbeatKey())
+	if candidate.followEra() {
+		return 0
+	}
 	switch {
 	case code.Is(err, code.RowMissing):
+		if wait := candidate.untilSure(); wait > 0 {
+			return min(wait, candidate.lease.options.renewalInterval())
+		}
 		return candidate.takeOver(ctx, table.Row{})
 	case err != nil:
 		return candidate.recordFailure(err, "watch")
@@ -33,7 +39,7 @@
 		return candidate.recordMalformedRow(err)
 	}
 	unchanged := candidate.observe(row.Version, time.Now())
-	if record.Released || candidate.leaseExpired() {
+	if (record.Released && candidate.untilSure() == 0) || candidate.leaseExpired() {
 		return candidate.takeOver(ctx, row)
 	}
 	return candidate.nextReadDelay(unchanged)
@@ -76,6 +82,9 @@
 // the next step.
 func (candidate *candidate) takeOver(ctx context.Context, heartbeat table.Row) time.Duration {
 	epoch, err := candidate.readRow(ctx, candidate.lease.epochKey())
+	if candidate.followEra() {
+		return 0
+	}
 	if err != nil && !code.Is(err, code.RowMissing) {
 		return candidate.recordFailure(err, "take")
 	}
@@ -89,7 +98,8 @@
 	if err != nil {
 		return candidate.recordMalformedRow(err)
 	}
-	ownership := candidate.newOwnership(last + 1)
+	ownership := candidate.newOwnership(max(last+1, candidate.era*epochsPerEra+1))
+	ownership.first = epoch.Version == 0 && candidate.unsureSince.IsZero()
 	err = candidate.commitTakeover(ctx, ownership, epoch, heartbeat)
 	if code.Is(err, code.RowConflict) {
 		return candidate.lease.options.renewalInterval()
@@ -100,6 +110,10 @@
 	return candidate.confirmTakeover(ctx, ownership)
 }
 
+// epochsPerEra is more takeovers than one era of the table sees. The epochs of an era are
+// above all those of earlier ones, which a restore of the table may have taken back.
+const epochsPerEra = 1_000_000
+
 // lastEpoch returns the epoch of the latest takeover, 0 if there was none. It
 // returns an error with code.RowMalformed if only one of the two rows exists or
 // if the epoch row cannot be decoded.
@@ -118,6 +132,7 @@
 	candidate.takeoverAttempts++
 	return &ownership{
 		epoch:  epoch,
+		era:    candidate.era,
 		nonce:  candidate.lease.session + "-" + strconv.FormatUint(candidate.takeoverAttempts, 10),
 		sentAt: candidate.lease.now(),
 	}
@@ -161,14 +176,14 @@
 // nonce of its takeover.
 func (candidate *candidate) beginOwnership(ownership *ownership, row table.Row) {
 	record, err := decodeEpoch(row)
-	if err != nil || record.Nonce != ownership.nonce {
+	if err != nil || record.Nonce != ownership.nonce || ownership.era != candidate.lease.options.era() {
 		candidate.observed = observation{}
 		return
 	}
 	lease := candidate.lease
-	ownership.grant = Grant{Epoch: ownership.epoch, Key: row.Key, Version: row.Version}
+	ownership.grant = Grant{Epoch: ownership.epoch, Key: row.Key, Version: row.Version, First: ownership.first}
 	candidate.ownership = ownership
-	lease.lastRenewal.Store(&renewal{grant: ownership.grant, sentAt: ownership.sentAt})
+	lease.lastRenewal.Store(&renewal{grant: ownership.grant, era: ownership.era, sentAt: ownership.sentAt})
 	lease.options.metrics.takeovers.Inc()
 	lease.options.metrics.epoch.Set(float64(ownership.epoch))
 	lease.options.logger.Info().Uint64("epoch", ownership.epoch).Msg("lease taken over by this instance")
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -199,7 +199,8 @@
 	node.mirror = mirror.New()
 	node.lease = lease.New(store, leaseName, settings.Instance,
 		lease.WithDuration(settings.Bounds.LeaseDuration), lease.WithLogger(logger),
-		lease.WithRegisterer(node.registry), lease.WithStandby(node.isStandby))
+		lease.WithRegisterer(node.registry), lease.WithStandby(node.isStandby),
+		lease.WithEra(store.Era), lease.WithFirstStart(settings.Bootstrap))
 	node.duties = duty.New(duty.Config{
 		Instance: node.settings.Instance, Lease: node.lease, Platform: node.control,
 		Reporter: tally.NewReporter(node.meter, node.store, node.control, node, node.settings.Instance,
