The age of a mirrored table does not follow the time of day

When the time of day of an instance jumps back (clock_step on the sites), its tables pass for fresh for as long after it has lost the store, and its readers send to targets that have gone.

TestLastContactDoesNotFollowTimeOfDay failed before; the jump itself cannot be played by a test of this process.

--- a/internal/transport/mirror/mirror_test.go
+++ b/internal/transport/mirror/mirror_test.go
@@ -199,3 +199,16 @@
 		t.Errorf("FetchTable() = %+v, %v, want row config", changes, err)
 	}
 }
+
+// The time of day jumps on an instance that serves its tables. Guards against an age that jumps
+// with it, so that a table that is seconds old passes for fresh.
+func TestLastContactDoesNotFollowTimeOfDay(t *testing.T) {
+	source := mirror.NewSource("targets", &store{}, mirror.NewClient(), func() (string, bool) { return "", true })
+	if _, err := source.List(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	contact := source.LastContact()
+	if !strings.Contains(contact.String(), "m=") { // the text of a time tells its monotonic reading
+		t.Errorf("LastContact() = %v, want a reading of the monotonic clock", contact)
+	}
+}
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -112,19 +112,23 @@
 	probed         *table.Page // list of a probe that succeeded, until List returns it
 	era            uint64      // highest seen, of the store
 	restored       bool        // more than one era was seen
-	lastContactNS  atomic.Int64
+	// lastContact is when the store last responded. It has a reading of the monotonic
+	// clock, since the time of day may jump.
+	lastContact atomic.Pointer[time.Time]
 }
 
 // NewSource returns a source of the table that mirrors serve under the given
 // name. ChooseMirror returns the address of a mirror, empty for none, and
 // whether the store is asked first.
 func NewSource(name string, store follow.Source, client *Client, chooseMirror func() (string, bool)) *Source {
-	return &Source{name: name, store: store, client: client, chooseMirror: chooseMirror}
+	source := &Source{name: name, store: store, client: client, chooseMirror: chooseMirror}
+	source.lastContact.Store(&time.Time{})
+	return source
 }
 
 // LastContact returns when the store last responded, to this instance or to the
 // mirror in use.
-func (source *Source) LastContact() time.Time { return time.Unix(0, source.lastContactNS.Load()) }
+func (source *Source) LastContact() time.Time { return *source.lastContact.Load() }
 
 // List returns all rows. It asks the store and a mirror in the order that the
 // choice of mirror and recent failures give.
@@ -267,5 +271,6 @@
 }
 
 func (source *Source) recordContact(ageMS int64) {
-	source.lastContactNS.Store(time.Now().Add(-time.Duration(ageMS) * time.Millisecond).UnixNano())
+	contact := time.Now().Add(-time.Duration(ageMS) * time.Millisecond)
+	source.lastContact.Store(&contact)
 }
