An instance that alone was cut off from the store drops missing targets at once

Cause: after two failed calls in a row, rows missing from the first list were kept for 2.5 s, since rows expire while the store is away for all. The count of failed calls does not tell that from an outage of one's own path.

Now rows can have expired only if the store was away for longer than targets may miss to write, and if no other instance says that the store has served it all that time; heartbeats tell since when it does. What others say may come after the list, so that it is asked again while rows are missing.

Ruled out: a shorter grace period, which loses sound targets after an outage of the store.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -52,6 +52,9 @@
 	// load of tables that change all the time. It is a tenth of the 2 s within
 	// which changes have to take effect.
 	minCallInterval = 200 * time.Millisecond
+	// defaultRowExpiry is less than three times the time after which owners write
+	// their rows.
+	defaultRowExpiry = 3 * time.Second
 	// missingRowGrace is how long a row may be missing after the store's return
 	// before it counts as deleted: rows that expired during an outage are
 	// written again within two seconds.
@@ -68,11 +71,26 @@
 	return func(follower *Follower) { follower.responseLimit = limit }
 }
 
+// WithRowExpiry sets how long the store may be away before rows expire that their owners
+// cannot write, 3 s by default.
+func WithRowExpiry(expiry time.Duration) Option {
+	return func(follower *Follower) { follower.rowExpiry = expiry }
+}
+
+// WithStoreServed sets the function that reports whether the store is known to have served
+// others without a break since a time. Rows that are missing after an outage of this
+// instance's own path to the store have not expired then. Without the option it is not known.
+func WithStoreServed(served func(since time.Time) bool) Option {
+	return func(follower *Follower) { follower.storeServed = served }
+}
+
 // Follower keeps one copy up to date.
 type Follower struct {
 	source        Source
 	applier       Applier
 	responseLimit time.Duration
+	rowExpiry     time.Duration
+	storeServed   func(since time.Time) bool
 	logger        zerolog.Logger
 
 	rowStamps     map[string]table.Stamp // of the rows in the copy
@@ -81,6 +99,8 @@
 	era           uint64                 // of the last list
 	tableVersion  uint64                 // 0 if a list is needed
 	lastList      time.Time
+	lastContact   time.Time // when the store sent the last page
+	missingSince  time.Time // last contact before rows were found missing, zero if the store was restored
 	failures      int       // failed calls in a row
 	outageStart   time.Time // of the first failure in a row
 }
@@ -90,6 +110,7 @@
 func New(name string, source Source, applier Applier, logger zerolog.Logger, opts ...Option) *Follower {
 	follower := &Follower{
 		source: source, applier: applier, responseLimit: defaultResponseLimit,
+		rowExpiry: defaultRowExpiry, storeServed: func(time.Time) bool { return false },
 		logger:    logger.With().Str("part", "follow").Str("table", name).Logger(),
 		rowStamps: map[string]table.Stamp{}, missingUntil: map[string]time.Time{}, deletedStamps: map[string]table.Stamp{},
 	}
@@ -119,7 +140,7 @@
 	}
 	start := time.Now()
 	watchCtx, cancel := context.WithTimeout(ctx, follower.responseLimit)
-	page, err := follower.source.Watch(watchCtx, follower.tableVersion, follower.watchWait(start))
+	page, err := follower.source.Watch(watchCtx, follower.tableVersion, follower.watchWait())
 	cancel()
 	if err != nil {
 		follower.logFailedWatch(ctx, err, time.Since(start))
@@ -130,19 +151,19 @@
 		follower.tableVersion = 0
 		return 0
 	}
-	follower.tableVersion = page.TableVersion
-	follower.applyWatched(page.Changes, time.Now())
+	now := time.Now()
+	follower.tableVersion, follower.lastContact = page.TableVersion, now.Add(-page.Age)
+	follower.applyWatched(page.Changes, now)
 	return minCallInterval
 }
 
-// watchWait returns how long to wait for changes. The wait does not last beyond
-// the end of the next grace period, so that missing rows are deleted in time.
-func (follower *Follower) watchWait(now time.Time) time.Duration {
-	wait := max(minCallInterval, follower.responseLimit-responseMargin)
-	for _, until := range follower.missingUntil {
-		wait = min(wait, max(minCallInterval, until.Sub(now)))
+// watchWait returns how long to wait for changes. It is short while rows are missing,
+// so that they are deleted when their grace period has ended.
+func (follower *Follower) watchWait() time.Duration {
+	if len(follower.missingUntil) > 0 {
+		return minCallInterval
 	}
-	return wait
+	return max(minCallInterval, follower.responseLimit-responseMargin)
 }
 
 // logFailedWatch logs a watch that ended without a response. Its time tells a
@@ -167,20 +188,33 @@
 			Msg("store was restored from a copy; all rows listed anew")
 	}
 	follower.era = page.Era
-	recovered := follower.failures > 1
-	if recovered {
+	if follower.failures > 1 {
 		follower.logger.Info().Dur("outage-ms", time.Since(follower.outageStart)).Uint64("version", page.TableVersion).Msg("table available again")
 	}
 	follower.failures = 0
-	follower.tableVersion, follower.lastList = page.TableVersion, time.Now()
-	follower.applyList(page.Changes, recovered || restored, follower.lastList)
+	now, lastContact := time.Now(), follower.lastContact
+	follower.tableVersion, follower.lastList, follower.lastContact = page.TableVersion, now, now.Add(-page.Age)
+	if restored {
+		lastContact = time.Time{}
+	}
+	follower.applyList(page.Changes, lastContact, now)
 	return 0
 }
 
+// mayHaveExpired reports whether rows may have expired since a time because their owners
+// could not write them. The zero time stands for a restore of the store.
+func (follower *Follower) mayHaveExpired(since, now time.Time) bool {
+	return since.IsZero() || (now.Sub(since) >= follower.rowExpiry && !follower.storeServed(since))
+}
+
 // applyList applies the difference between a list and the copy. Rows that are
-// not in the list are deleted at once or, if the list is the first after an
-// outage or a restore of the store, when their grace period has ended.
-func (follower *Follower) applyList(listed []table.Change, recovered bool, now time.Time) {
+// not in the list are deleted at once or, if they may have expired since the last
+// contact, when their grace period has ended.
+func (follower *Follower) applyList(listed []table.Change, lastContact, now time.Time) {
+	mayHaveExpired := follower.mayHaveExpired(lastContact, now)
+	if mayHaveExpired {
+		follower.missingSince = lastContact
+	}
 	var changes []table.Change
 	present := make(map[string]bool, len(listed))
 	older := 0
@@ -202,7 +236,7 @@
 		}
 		_, inGrace := follower.missingUntil[key]
 		switch {
-		case recovered && !inGrace:
+		case mayHaveExpired && !inGrace:
 			follower.missingUntil[key] = now.Add(missingRowGrace)
 		case !inGrace:
 			changes = append(changes, deletion(key, stamp))
@@ -242,7 +276,7 @@
 		}
 	}
 	for key, until := range follower.missingUntil {
-		if now.Before(until) {
+		if now.Before(until) && follower.mayHaveExpired(follower.missingSince, now) {
 			continue
 		}
 		follower.logger.Info().Str("row", key).Msg("row still missing after the grace period; deleted")
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -189,3 +189,45 @@
 		})
 	})
 }
+
+// Rows are removed while one instance is cut off from the store. Guards against keeping them for
+// the grace period of rows that expire in an outage of the store: others were served, so that
+// none has expired. What others say may come after the list.
+func TestDeletesMissingRowsAtOnceIfStoreServedOthers(t *testing.T) {
+	for name, tellsAfter := range map[string]time.Duration{"known at the list": 0, "known a second later": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source, copied := &fakeSource{rows: map[string]uint64{"a": 1, "b": 2}, version: 2}, &keyCopy{}
+				begin := time.Now()
+				told := begin.Add(11*time.Second + tellsAfter)
+				servedSince := func(since time.Time) bool {
+					return time.Now().After(told) && !since.Before(begin)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := follow.New("targets", source, copied, zerolog.Nop(), follow.WithStoreServed(servedSince)).Start(ctx)
+				time.Sleep(time.Second)
+				source.update(func() { source.err = code.Errorf(code.StoreDown, "cut off") })
+				time.Sleep(10 * time.Second)
+				source.update(func() { source.err, source.rows, source.version = nil, map[string]uint64{"a": 1}, 3 })
+				time.Sleep(900*time.Millisecond + tellsAfter) // covers the backoff of the list
+				expectKeys(t, copied, "after the list", "a")
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
+// An outage is too short for rows to expire. Guards against keeping rows that are missing after
+// it, whatever the number of failed calls.
+func TestDeletesMissingRowsAtOnceAfterShortOutage(t *testing.T) {
+	source := &fakeSource{rows: map[string]uint64{"a": 1, "b": 2}, version: 2}
+	runFollower(t, source, func(copied *keyCopy) {
+		time.Sleep(time.Second)
+		source.update(func() { source.err = code.Errorf(code.StoreDown, "connection reset") })
+		time.Sleep(1200 * time.Millisecond)
+		source.update(func() { source.err, source.rows, source.version = nil, map[string]uint64{"a": 1}, 3 })
+		time.Sleep(900 * time.Millisecond)
+		expectKeys(t, copied, "after the list", "a")
+	})
+}
--- a/internal/protocol/site/site.go
+++ b/internal/protocol/site/site.go
@@ -34,6 +34,7 @@
 	DrainTimeout        time.Duration // after which a draining target gets no request
 	ShutdownGrace       time.Duration // between SIGTERM and SIGKILL
 	ManifestApplyLimit  time.Duration // within which all instances apply a new manifest
+	TargetRowExpiry     time.Duration // for which the store may be away before targets' rows can expire
 	ContactTime         time.Duration // after the end of a disruption within which an instance is to work as before
 	LeaseDuration       time.Duration // within which holders of a duty must not alternate
 	UsageWindow         time.Duration // length of a usage window
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -4,7 +4,10 @@
 // need.
 package table
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Row is one row of the table.
 type Row struct {
@@ -79,6 +82,7 @@
 // Page is the result of listing a table, or of watching it for changes.
 type Page struct {
 	Changes      []Change
-	TableVersion uint64 // watch from here for later changes
-	Era          uint64 // of the store, 0 if unknown
+	TableVersion uint64        // watch from here for later changes
+	Era          uint64        // of the store, 0 if unknown
+	Age          time.Duration // since the store sent it; 0 unless another instance has passed it on
 }
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -30,6 +30,9 @@
 	// mirror serves the table, and how long mirrors are not asked after one
 	// failed if the store serves it.
 	failureBackoff = 2 * time.Second
+	// steadyGap is more than the time between two responses of a store that serves, and
+	// less than the time after which rows expire.
+	steadyGap = 2800 * time.Millisecond
 	// probeInterval is the time between two attempts to list the store while a mirror
 	// serves the table to an instance that should ask the store.
 	probeInterval = 500 * time.Millisecond
@@ -112,9 +115,14 @@
 	probed         *table.Page // list of a probe that succeeded, until List returns it
 	era            uint64      // highest seen, of the store
 	restored       bool        // more than one era was seen
-	// lastContact is when the store last responded. It has a reading of the monotonic
-	// clock, since the time of day may jump.
-	lastContact atomic.Pointer[time.Time]
+	contact        atomic.Pointer[contact]
+}
+
+// contact tells when the store responded. The times have readings of the monotonic clock,
+// since the time of day may jump.
+type contact struct {
+	last        time.Time
+	steadySince time.Time // from when on no response came later than steadyGap after the one before
 }
 
 // NewSource returns a source of the table that mirrors serve under the given
@@ -122,13 +130,13 @@
 // whether the store is asked first.
 func NewSource(name string, store follow.Source, client *Client, chooseMirror func() (string, bool)) *Source {
 	source := &Source{name: name, store: store, client: client, chooseMirror: chooseMirror}
-	source.lastContact.Store(&time.Time{})
+	source.contact.Store(&contact{})
 	return source
 }
 
 // LastContact returns when the store last responded, to this instance or to the
 // mirror in use.
-func (source *Source) LastContact() time.Time { return *source.lastContact.Load() }
+func (source *Source) LastContact() time.Time { return source.contact.Load().last }
 
 // List returns all rows. It asks the store and a mirror in the order that the
 // choice of mirror and recent failures give.
@@ -262,7 +270,10 @@
 	}
 	source.recordEra(response.Era)
 	source.recordContact(response.AgeMS)
-	return table.Page{Changes: response.Changes, TableVersion: response.Version, Era: response.Era}, nil
+	return table.Page{
+		Changes: response.Changes, TableVersion: response.Version, Era: response.Era,
+		Age: time.Duration(response.AgeMS) * time.Millisecond,
+	}, nil
 }
 
 func (source *Source) recordEra(era uint64) {
@@ -270,7 +281,19 @@
 	source.era = max(source.era, era)
 }
 
+// SteadySince returns from when on the store has responded without a break of more than
+// steadyGap, to this instance or to the mirrors in use. It returns false if the last response is
+// longer ago.
+func (source *Source) SteadySince() (time.Time, bool) {
+	known := source.contact.Load()
+	return known.steadySince, time.Since(known.last) <= steadyGap
+}
+
 func (source *Source) recordContact(ageMS int64) {
-	contact := time.Now().Add(-time.Duration(ageMS) * time.Millisecond)
-	source.lastContact.Store(&contact)
+	known := source.contact.Load()
+	recorded := contact{last: time.Now().Add(-time.Duration(ageMS) * time.Millisecond), steadySince: known.steadySince}
+	if recorded.last.Sub(known.last) > steadyGap {
+		recorded.steadySince = recorded.last
+	}
+	source.contact.Store(&recorded)
 }
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -49,6 +49,10 @@
 	// Origins holds the software versions in service and at which streams began.
 	Origins origin.Report `cbor:"19,keyasint,omitzero"`
 
+	// StoreSteadyMS is for how long the store has served the instance without a break, 0 if
+	// it does not.
+	StoreSteadyMS int64 `cbor:"20,keyasint,omitempty"`
+
 	// A message with one of these is no heartbeat.
 	UsageQuery  *usageQuery  `cbor:"9,keyasint,omitempty"`
 	UsageAnswer *usageAnswer `cbor:"10,keyasint,omitempty"`
@@ -69,6 +73,9 @@
 		Limits: node.scheduler.Limits(), Build: node.build, Abilities: Abilities(),
 		Origins: node.origins.Report(rounds),
 	}
+	if since, ok := node.targetSource.SteadySince(); ok {
+		message.StoreSteadyMS = time.Since(since).Milliseconds()
+	}
 	node.scheduler.SetMembers(node.settings.Instance, node.limitMembers())
 	if node.crashes.TakeNews() {
 		node.mesh.BroadcastNext()
@@ -129,6 +136,7 @@
 		accepts: message.AcceptsForwarded, services: message.LostServices,
 		keepsVersions: slices.Contains(message.Abilities, abilityVersions),
 	})
+	node.storeContacts.update(message.Instance, time.Duration(message.StoreSteadyMS)*time.Millisecond)
 	node.origins.Merge(message.Origins)
 	if node.memberBoots.isNew(message.Instance, message.BootID) {
 		node.origins.Repeat()
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -135,12 +135,15 @@
 	roster          *roster.Roster
 	mesh            *mesh.Mesh
 	reach           *reach.Tracker
+	targetSource    *mirror.Source
+	storeContacts   storeContacts
 	crashes         *crash.Tracker
 	origins         *origin.Tracker
 	memberBoots     memberBoots
 	detours         *detours
 	detourServer    *detour.Server
 	mirror          *mirror.Mirror
+	mirrorClient    *mirror.Client
 	lease           *lease.Lease
 	duties          *duty.Runner
 	servers         []*front.Server   // callers, then readiness check
@@ -197,6 +200,8 @@
 	node.detourServer = node.newDetourServer()
 	node.roster = roster.New(codec.DecodeTarget, node.setTargets, logger)
 	node.mirror = mirror.New()
+	node.mirrorClient = mirror.NewClient()
+	node.targetSource = mirror.NewSource(targetTable, store.TargetSource(), node.mirrorClient, node.chooseMirror)
 	node.lease = lease.New(store, leaseName, settings.Instance,
 		lease.WithDuration(settings.Bounds.LeaseDuration), lease.WithLogger(logger),
 		lease.WithRegisterer(node.registry), lease.WithStandby(node.isStandby),
@@ -214,6 +219,7 @@
 func (node *Node) forgetMember(instance string) {
 	node.scheduler.RemoveReport(instance)
 	node.builds.remove(instance)
+	node.storeContacts.remove(instance)
 }
 
 // Start listens, starts the background loops and returns. They run until Stop,
@@ -224,19 +230,20 @@
 		node.cancel()
 		return err
 	}
-	client := mirror.NewClient()
-	manifests := node.follow(manifestTable, node.store.ManifestSource(), manifestApplier{node}, client)
-	targets := node.follow(targetTable, node.store.TargetSource(), node.roster, client)
-	node.loopsDone = append(node.loopsDone, manifests.Start(ctx), targets.Start(ctx), node.syncMembers(ctx), node.fetchNewerManifests(ctx, client), node.probeTargets(ctx), node.keepVersions(ctx), node.duties.Start(ctx))
+	manifests := node.follow(manifestTable, mirror.NewSource(manifestTable, node.store.ManifestSource(), node.mirrorClient, node.chooseMirror), manifestApplier{node})
+	targets := node.follow(targetTable, node.targetSource, node.roster)
+	node.loopsDone = append(node.loopsDone, manifests.Start(ctx), targets.Start(ctx), node.syncMembers(ctx), node.fetchNewerManifests(ctx, node.mirrorClient), node.probeTargets(ctx), node.keepVersions(ctx), node.duties.Start(ctx))
 	node.leaseDone = node.lease.Start(ctx)
 	return nil
 }
 
 // follow returns the follower of a table that is read from the store or from
 // the mirror of a peer, and is in turn served to peers.
-func (node *Node) follow(name string, store follow.Source, applier follow.Applier, client *mirror.Client) *follow.Follower {
-	source := mirror.NewSource(name, store, client, node.chooseMirror)
-	var opts []follow.Option
+func (node *Node) follow(name string, source *mirror.Source, applier follow.Applier) *follow.Follower {
+	opts := []follow.Option{follow.WithStoreServed(node.storeContacts.servedSince)}
+	if expiry := node.settings.Bounds.TargetRowExpiry; expiry > 0 {
+		opts = append(opts, follow.WithRowExpiry(expiry))
+	}
 	if contactTime := node.settings.Bounds.ContactTime; contactTime > 0 {
 		opts = append(opts, follow.WithResponseLimit(contactTime*responseLimitPercent/100))
 	}
