What a target says counts also while its entry is missing

Marks of pauses, limits and leaving were dropped for a target that is not listed at that moment. TestStatementsOfUnlistedTargetCount failed before in all three ways.

--- a/internal/coordination/place/leave.go
+++ b/internal/coordination/place/leave.go
@@ -29,7 +29,7 @@
 func (scheduler *Scheduler) MarkLeaving(leaving LeavingTarget) bool {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	state, ok := scheduler.targets[leaving.ID]
+	state, ok := scheduler.stated(leaving.ID)
 	if !ok || state.leaving || startedMS(state.Started) != leaving.StartedMS {
 		return false
 	}
--- a/internal/coordination/place/leave_test.go
+++ b/internal/coordination/place/leave_test.go
@@ -76,3 +76,33 @@
 		t.Errorf("LeavingTargets() = %v, want s0 alone", leaving)
 	}
 }
+
+// The entry of a target lapses while an answer of it is under way, and comes back with the store.
+// Guards against forgetting what the answer says: that it leaves, wants a pause or has a limit.
+func TestStatementsOfUnlistedTargetCount(t *testing.T) {
+	for name, state := range map[string]func(*place.Scheduler, site.Target){
+		"leaves": func(scheduler *place.Scheduler, target site.Target) {
+			scheduler.MarkLeaving(place.NewLeavingTarget(target))
+		},
+		"wants a pause": func(scheduler *place.Scheduler, target site.Target) {
+			scheduler.MarkQuiet(target.ID, 20*time.Second)
+		},
+		"has a limit": func(scheduler *place.Scheduler, target site.Target) {
+			scheduler.MarkLimited(target.ID, 0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				target := site.Target{ID: "s1", Service: "desk", DataCenter: "tas-a", Slots: 6, Started: time.UnixMilli(1_771_142_700_020)}
+				scheduler := newScheduler(target)
+				scheduler.SetTargets(nil, services)
+				state(scheduler, target)
+				time.Sleep(5 * time.Second)
+				scheduler.SetTargets([]site.Target{target}, services)
+				if _, _, ok := scheduler.AssignCall("desk", nil); ok {
+					t.Error("AssignCall() chooses the target, whose statement was forgotten")
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/place/limit.go
+++ b/internal/coordination/place/limit.go
@@ -75,7 +75,7 @@
 func (scheduler *Scheduler) MarkLimited(id string, perSecond float64) bool {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	state, ok := scheduler.targets[id]
+	state, ok := scheduler.stated(id)
 	if !ok {
 		return false
 	}
--- a/internal/coordination/place/place.go
+++ b/internal/coordination/place/place.go
@@ -146,13 +146,17 @@
 // Entries expire while the store is away, and come back with it.
 const unlistedMemory = 2 * time.Minute
 
-// keepUnlisted keeps the state of targets that are not listed any more and that have
-// said what the next list does not tell.
+// keepUnlisted keeps what targets that are not listed any more have said, or will say in
+// answers that are under way, since the next list does not tell it.
 func (scheduler *Scheduler) keepUnlisted(listed map[string]*targetState, now time.Time) {
 	for id, state := range scheduler.targets {
-		if listed[id] == nil && (state.leaving || state.limit != nil || now.Before(state.quietUntil)) {
-			scheduler.unlisted[id] = unlistedTarget{state, now}
+		if listed[id] != nil {
+			continue
+		}
+		if !state.leaving && state.limit == nil && !now.Before(state.quietUntil) {
+			state = &targetState{Target: state.Target, slowdown: 1, weight: 1, firstSeen: state.firstSeen}
 		}
+		scheduler.unlisted[id] = unlistedTarget{state, now}
 	}
 	for id, unlisted := range scheduler.unlisted {
 		if listed[id] != nil || now.Sub(unlisted.since) > unlistedMemory {
@@ -161,6 +165,16 @@
 	}
 }
 
+// stated returns the state in which to keep what a target says, whether it is listed or
+// was so a while ago.
+func (scheduler *Scheduler) stated(id string) (*targetState, bool) {
+	if state, ok := scheduler.targets[id]; ok {
+		return state, true
+	}
+	unlisted, ok := scheduler.unlisted[id]
+	return unlisted.state, ok
+}
+
 func (state *targetState) setEngine(engine *site.Engine) {
 	state.engine = engine
 	if engine == nil {
--- a/internal/coordination/place/quiet.go
+++ b/internal/coordination/place/quiet.go
@@ -11,7 +11,7 @@
 func (scheduler *Scheduler) MarkQuiet(id string, length time.Duration) {
 	scheduler.mutex.Lock()
 	defer scheduler.mutex.Unlock()
-	if state, ok := scheduler.targets[id]; ok {
+	if state, ok := scheduler.stated(id); ok {
 		state.quietUntil = maxTime(state.quietUntil, time.Now().Add(length))
 	}
 }
