Instances register again after a restore of the store

Their rows are written once, at the start. A copy of before that has no row of theirs, so that an instance which starts later finds nobody and is found by nobody until heartbeats happen to meet. TestMembersRegisterAgainAfterRestoreOfStore failed before (it waited until its time limit).

--- a/internal/transport/node/members.go
+++ b/internal/transport/node/members.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/go-json-experiment/json"
 
@@ -27,16 +28,24 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		registered := false
+		registered, era := false, uint64(0)
 		for ctx.Err() == nil {
-			wait := memberReadInterval
+			if node.store.Era() != era { // a restore may have taken the row back
+				registered = false
+			}
 			if !registered {
 				registered = node.writeMember(ctx)
+				era = node.store.Era()
 			}
+			wait := memberReadInterval
 			if !node.readMembers(ctx) || !registered {
 				wait = memberRetryDelay
 			}
-			pause.For(ctx, wait)
+			for end := time.Now().Add(wait); time.Now().Before(end) && node.store.Era() == era; {
+				if !pause.For(ctx, memberRetryDelay) {
+					break
+				}
+			}
 		}
 	}()
 	return done
--- a/internal/transport/node/restore_test.go
+++ b/internal/transport/node/restore_test.go
@@ -51,3 +51,23 @@
 	first.Stop()
 	second.Stop()
 }
+
+// The store comes back from a copy of before the instances registered. Guards against members
+// that a new instance does not find.
+func TestMembersRegisterAgainAfterRestoreOfStore(t *testing.T) {
+	store := newFakeStore()
+	store.put("op", "config", manifest(3, "/read/"))
+	startTarget(t, store)
+	copied := store.copy()
+	control := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(control.Close)
+	log := &logBuffer{}
+	instance, _ := startNode(t, "a", "127.0.0.1", store.endpoint(t).address, control.Listener.Addr().String(), [2]int{freePort(t), freePort(t)}, log)
+	defer instance.Stop()
+	eventually(t, "the instance has registered", func() bool { return store.contains("member/a", "address") })
+	store.restore(copied)
+	if store.contains("member/a", "address") {
+		t.Fatal("the copy has the row of the member")
+	}
+	eventually(t, "the instance has registered again", func() bool { return store.contains("member/a", "address") })
+}
