Soak: the store comes back from copies, manifests change

It checks that all instances have the latest manifest in force in the end and none serves a dropped route, and as before that fencing tokens do not go down and no window is reported with two counts.

--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -98,6 +98,7 @@
 	store     *fakeStore
 	targets   *soakTargets
 	control   soakControl
+	history   soakHistory
 	instances []*soakInstance
 
 	mutex          sync.Mutex
@@ -129,7 +130,7 @@
 }
 
 func (soak *soak) run() {
-	soak.store.put("op", "config", soakManifest(3))
+	soak.history.publish(soak.store)
 	soak.targets.serve(soak.store)
 	control := httptest.NewServer(&soak.control)
 	defer control.Close()
@@ -151,6 +152,7 @@
 			soak.runCaller(i, stop)
 		}()
 	}
+	soak.history.keepCopies(soak.store, stop)
 	soak.injectFaults(*soakLength)
 	for _, instance := range soak.instances {
 		if instance.program != soak.programs[0] {
@@ -158,6 +160,7 @@
 		}
 	}
 	soak.awaitService() // all instances recover
+	soak.awaitManifest()
 	soak.askForPauses()
 	soak.nameLimit()
 	close(stop)
@@ -310,6 +313,8 @@
 				soak.targets.fault.Store(0)
 			},
 			func() { soak.signal(instance, syscall.SIGHUP) },
+			func() { soak.history.publish(soak.store) },
+			func() { soak.history.restore(soak.store, linkSeed, duration) },
 			func() {
 				defer soak.targets.excuse(instance.name)()
 				instance.links.disturb(rand.New(rand.NewPCG(linkSeed, linkSeed)), linkFault, duration)
@@ -483,13 +488,15 @@
 }
 
 // soakManifest returns a manifest with a route whose requests may be repeated, one
-// whose requests must not be, and one whose streams may be resumed.
+// whose requests must not be, one whose streams may be resumed, and one that only this
+// version has.
 func soakManifest(version int) string {
 	route := `{"Name":%q,"Host":%q,"Prefix":%q,"Kind":%q,"TimeoutMs":1500,"TargetLatencyMs":100,"Service":%q,"MaxAttempts":%d%s}`
 	read := fmt.Sprintf(route, "read", host, "/read/", "safe", "desk", soakMaxAttempts, "")
 	book := fmt.Sprintf(route, "book", host, "/book/", "unsafe", "desk", 1, "")
 	resume := fmt.Sprintf(route, "resume", host, "/resume/", "streaming", "llm", soakMaxAttempts, `,"TargetGapMs":200,"Sticky":true,"Resumable":true`)
 	engine := `{"Slots":64,"KvCapacity":400000,"KvTokenBytes":163840,"LinkMbps":1600000,"HandleTtlS":5,"SwitchS":3}`
-	return fmt.Sprintf(`{"Version":%d,"Routes":[%s,%s,%s],"Services":[{"Name":"desk"},{"Name":"llm","Engine":%s}],"Tenants":[{"Name":"press","ApiKeys":[%q]}]}`,
-		version, read, book, resume, engine, key)
+	latest := fmt.Sprintf(route, "latest", host, fmt.Sprintf("/latest-%d/", version), "safe", "desk", soakMaxAttempts, "")
+	return fmt.Sprintf(`{"Version":%d,"Routes":[%s,%s,%s,%s],"Services":[{"Name":"desk"},{"Name":"llm","Engine":%s}],"Tenants":[{"Name":"press","ApiKeys":[%q]}]}`,
+		version, read, book, resume, latest, engine, key)
 }
