Origins of streams are sent to a restarted instance only

Cause: each instance that heard of a new run of another one put all streams that it knew into its next three heartbeats, to all instances. With 87 instances and links of 10 Mbit/s, one restart filled all links for a second; a rolling restart did so for as long as it lasted.

Now three instances, chosen by rendezvous hashing, send them in a datagram of their own to the restarted instance, if its build reads it. TestStreamGoesOnAtItsVersionAtAnotherInstance and TestOriginIsNeverWrong hold.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -26,8 +26,8 @@
 	// maxStreams bounds the streams of one generation. Beyond it, the oldest are
 	// forgotten early.
 	maxStreams = 50_000
-	// maxRepeated bounds the streams that one report repeats.
-	maxRepeated = 2000
+	// maxTold bounds the streams of a full report, so that it fits into a datagram.
+	maxTold = 2000
 	// tellRounds is in how many reports to an instance a stream is told. One of them
 	// may get lost.
 	tellRounds = 2
@@ -51,7 +51,6 @@
 	sightings  map[sighting]time.Time // when a version was last in service
 	knownSince time.Time              // from when on no version was in service that is not in sightings
 	round      int                    // of reports
-	repeatEnd  int                    // round up to which all streams are told
 
 	// The streams of the current and the previous generation. A generation lasts at
 	// least for the memory.
--- a/internal/coordination/origin/report.go
+++ b/internal/coordination/origin/report.go
@@ -27,10 +27,37 @@
 	Hashes  []uint64 `cbor:"3,keyasint"` // of the attempts
 }
 
-// Report returns the report to instances that get one in the given number of rounds.
+// Report returns the report to instances that get one in the given number of rounds. It
+// tells the streams that began in the latest rounds.
 func (tracker *Tracker) Report(rounds int) Report {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
+	streams := map[uint64]sighting{}
+	for _, begun := range tracker.begun {
+		if tracker.round-begun.round < tellRounds*rounds {
+			streams[begun.hash] = begun.sighting
+		}
+	}
+	return tracker.report(streams)
+}
+
+// FullReport returns the report to an instance that has just started. It tells all streams
+// that are known, or maxTold of them.
+func (tracker *Tracker) FullReport() Report {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	streams := map[uint64]sighting{}
+	for _, generation := range []map[uint64]sighting{tracker.current, tracker.previous} {
+		for hash, seen := range generation {
+			if len(streams) < maxTold {
+				streams[hash] = seen
+			}
+		}
+	}
+	return tracker.report(streams)
+}
+
+func (tracker *Tracker) report(streams map[uint64]sighting) Report {
 	now := time.Now()
 	report := Report{KnownMS: min(now.Sub(tracker.knownSince), tracker.memory).Milliseconds()}
 	for _, service := range tracker.services {
@@ -39,39 +66,24 @@
 			report.Versions = append(report.Versions, Version{service, version, age.Milliseconds()})
 		}
 	}
-	report.Streams = tracker.told(rounds)
+	report.Streams = groupStreams(streams)
 	return report
 }
 
-// told returns the streams that began in the latest rounds, or all that are known.
-func (tracker *Tracker) told(rounds int) []Streams {
-	hashes := map[uint64]sighting{}
-	for _, begun := range tracker.begun {
-		if tracker.round-begun.round < tellRounds*rounds {
-			hashes[begun.hash] = begun.sighting
-		}
-	}
-	if tracker.round < tracker.repeatEnd {
-		for _, streams := range []map[uint64]sighting{tracker.current, tracker.previous} {
-			for hash, seen := range streams {
-				if len(hashes) < maxRepeated {
-					hashes[hash] = seen
-				}
-			}
-		}
-	}
+// groupStreams groups streams by service and version.
+func groupStreams(streams map[uint64]sighting) []Streams {
 	groups := map[sighting][]uint64{}
-	for hash, seen := range hashes {
+	for hash, seen := range streams {
 		groups[seen] = append(groups[seen], hash)
 	}
-	told := make([]Streams, 0, len(groups))
+	grouped := make([]Streams, 0, len(groups))
 	for seen, hashes := range groups {
-		told = append(told, Streams{seen.service, seen.version, hashes})
+		grouped = append(grouped, Streams{seen.service, seen.version, hashes})
 	}
-	slices.SortFunc(told, func(a, b Streams) int {
+	slices.SortFunc(grouped, func(a, b Streams) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
 	})
-	return told
+	return grouped
 }
 
 // maxRounds is the greatest number of rounds in which an instance gets one report.
@@ -87,13 +99,6 @@
 	})
 }
 
-// Repeat has the next reports tell all streams, for an instance that has just started.
-func (tracker *Tracker) Repeat() {
-	tracker.mutex.Lock()
-	defer tracker.mutex.Unlock()
-	tracker.repeatEnd = tracker.round + tellRounds + 1
-}
-
 // Merge takes over what another instance tells.
 func (tracker *Tracker) Merge(report Report) {
 	tracker.mutex.Lock()
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -56,6 +56,8 @@
 	// A message with one of these is no heartbeat.
 	UsageQuery  *usageQuery  `cbor:"9,keyasint,omitempty"`
 	UsageAnswer *usageAnswer `cbor:"10,keyasint,omitempty"`
+	// AllOrigins holds all origins of streams, for an instance that has just started.
+	AllOrigins *origin.Report `cbor:"21,keyasint,omitempty"`
 }
 
 func (node *Node) instanceRun() tally.InstanceRun {
@@ -130,6 +132,10 @@
 		node.meter.MergeCollected(message.Instance, message.UsageAnswer.Window, message.UsageAnswer.Counts)
 		return
 	}
+	if message.AllOrigins != nil {
+		node.origins.Merge(*message.AllOrigins)
+		return
+	}
 	node.mesh.Add(mesh.Member{Instance: message.Instance, DataCenter: message.DataCenter, Address: from})
 	node.mesh.RecordHeartbeat(message.Instance)
 	node.detours.update(message.Instance, peerReach{
@@ -138,8 +144,8 @@
 	})
 	node.storeContacts.update(message.Instance, time.Duration(message.StoreSteadyMS)*time.Millisecond)
 	node.origins.Merge(message.Origins)
-	if node.memberBoots.isNew(message.Instance, message.BootID) {
-		node.origins.Repeat()
+	if node.memberBoots.isNew(message.Instance, message.BootID) && slices.Contains(message.Abilities, abilityVersions) {
+		node.tellOrigins(message.Instance, from)
 	}
 	node.builds.update(message.Instance, message.Build, message.Abilities)
 	node.pauseEngines(message.StageChangesMS)
--- a/internal/transport/node/versions.go
+++ b/internal/transport/node/versions.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-json-experiment/json"
 
 	"mangopier.example/mangopier/internal/coordination/lease"
@@ -23,6 +25,28 @@
 	versionsWriters = 2
 )
 
+// originTellers is how many instances tell one that has just started the origins of streams.
+// All of them together would fill its link.
+const originTellers = 3
+
+// tellOrigins sends the origins of all streams to an instance that has just started, if
+// this instance is one of those that do.
+func (node *Node) tellOrigins(instance string, address netip.AddrPort) {
+	if !lease.IsStandby("origins/"+instance, node.settings.Instance, node.mesh.LiveNames(), originTellers) {
+		return
+	}
+	report := node.origins.FullReport()
+	if len(report.Streams) == 0 {
+		return
+	}
+	data, err := cbor.Marshal(heartbeat{Instance: node.settings.Instance, BootID: node.bootID, AllOrigins: &report})
+	if err != nil {
+		node.logger.Error().Str("part", "node").Err(err).Msg("origins of streams cannot be encoded")
+		return
+	}
+	node.mesh.Send(data, address)
+}
+
 // versionsRow is the value of the row.
 type versionsRow struct {
 	Versions map[string][]string `json:"versions"` // by service
