--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -114,13 +114,13 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	now := time.Now()
-	tracker.see(now) // those that leave the list were in service until now
+	tracker.markInService(now) // those that leave the list were in service until now
 	tracker.targets = targets
-	tracker.see(now)
+	tracker.markInService(now)
 }
 
-// see records that the versions of the listed targets are in service.
-func (tracker *Tracker) see(now time.Time) {
+// markInService records that the versions of the listed targets are in service.
+func (tracker *Tracker) markInService(now time.Time) {
 	for i := range tracker.targets {
 		target := &tracker.targets[i]
 		tracker.sightings[sighting{target.Service, target.Software}] = now
@@ -204,7 +204,7 @@
 // versions returns the versions that may have begun a stream of a service that can still
 // be taken up, sorted.
 func (tracker *Tracker) versions(service string, now time.Time) []string {
-	tracker.see(now)
+	tracker.markInService(now)
 	var versions []string
 	for seen, at := range tracker.sightings {
 		switch {
