A status that promises 'not run' is not passed on from a target that ran

Callers saw: 429, 503 or 408 for a request that a target had run.

Cause: a target states that it did not run a request by Not-Executed only ("No other response states this"). Its own failure with one of these statuses and without that header was passed on unchanged, from plain services and engines; a 429 or 408 even counted as a success of the target.

Now: the caller gets 502 with code 2001 and run status unknown, without the target's signature; the call counts as a failure of the target. Errors of our own whose run status is not 'not run' have no such status either.

TestStatusOfTargetReachesCaller asked for these three statuses unchanged, on a route that is unsafe. The test asks for 502, code 2001, 'unknown' and no signature there, and for all other statuses unchanged, as before.

--- a/internal/protocol/code/code.go
+++ b/internal/protocol/code/code.go
@@ -107,6 +107,17 @@
 	}
 }
 
+// PromisesNotRun reports whether an HTTP status tells callers that the request has not run
+// and will not run later, so that they may repeat any request.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // Definition describes one result code.
 type Definition struct {
 	Code              Code
--- a/internal/transport/front/refusal.go
+++ b/internal/transport/front/refusal.go
@@ -58,7 +58,7 @@
 	setErrorHeaders(header, err)
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(httpStatus(code.FromError(err)))
+	w.WriteHeader(httpStatus(err))
 	_, _ = w.Write(body)
 }
 
@@ -83,11 +83,11 @@
 	}
 }
 
-// httpStatus returns the status of a code, or 502 if the server library cannot
-// write that status.
-func httpStatus(errorCode code.Code) int {
-	status := code.Lookup(errorCode).Status
-	if http.StatusText(status) == "" {
+// httpStatus returns the status of an error's code, or 502 if the server library cannot
+// write that status, or if it promises that a request has not run that may have.
+func httpStatus(err error) int {
+	status := code.Lookup(code.FromError(err)).Status
+	if http.StatusText(status) == "" || (code.PromisesNotRun(status) && code.RunStatusFromError(err) != code.NotRun) {
 		return http.StatusBadGateway
 	}
 	return status
@@ -102,7 +102,7 @@
 	header.Set("Content-Type", "application/json")
 	header.Set("Connection", "close")
 	response := http.Response{
-		StatusCode:    httpStatus(code.FromError(err)),
+		StatusCode:    httpStatus(err),
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        header,
--- a/internal/transport/proxy/exchange.go
+++ b/internal/transport/proxy/exchange.go
@@ -357,8 +357,13 @@
 	}
 }
 
-// deliver sends a complete response to the caller.
+// deliver sends a complete response to the caller. A response with a status that promises
+// that the request has not run is replaced by an error: the target has run it.
 func (exchange *exchange) deliver(response *back.Response, body []byte) {
+	if code.PromisesNotRun(response.Status) {
+		exchange.refuse(code.Errorf(code.TargetFailed, "target ran the request and answered with status %d", response.Status))
+		return
+	}
 	exchange.copyHeader(response)
 	exchange.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	exchange.w.WriteHeader(response.Status)
--- a/internal/transport/proxy/plain.go
+++ b/internal/transport/proxy/plain.go
@@ -233,7 +233,7 @@
 	switch {
 	case result.bodyErr != nil || (result.response.Status < http.StatusMultipleChoices && !exchange.isAuthentic(result.response, result.info)):
 		outcome, name = outcomeFailed, "broken"
-	case result.response.Status >= http.StatusInternalServerError:
+	case result.response.Status >= http.StatusInternalServerError || code.PromisesNotRun(result.response.Status):
 		outcome, name = outcomeFailed, "failed"
 		calls.fallback = &fallbackResponse{response: result.response, body: result.body}
 	}
--- a/internal/transport/proxy/status_test.go
+++ b/internal/transport/proxy/status_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 
+	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/site"
 	"mangopier.example/mangopier/internal/transport/front"
 )
@@ -79,6 +81,27 @@
 	return statusSite.do(request)
 }
 
+// checkUnknown checks that a caller is told that a request may have run, in an error that does
+// not pass for one of the target.
+func checkUnknown(t *testing.T, path string, status int, response callerResponse) {
+	t.Helper()
+	if response.status != http.StatusBadGateway || response.header.Get("X-Mangopier-Code") != "2001" ||
+		response.header.Get("X-Mangopier-Run") != "unknown" || response.header.Get("Response-Signature") != "" {
+		t.Errorf("response to %s with status %d = %+v, want 502 with code 2001, unknown and no signature", path, status, response)
+	}
+}
+
+// A target runs a request and fails with a status that promises callers that it has not run.
+// Guards against passing the promise on (REFUSED), on all kinds of routes.
+func TestPromiseOfTargetThatRanReachesNoCaller(t *testing.T) {
+	statusSite := newStatusSite(t)
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, path := range []string{"/book/x", "/ask/x", "/resume/x", "/read/x"} {
+			checkUnknown(t, path, status, statusSite.ask(path, strconv.Itoa(status)))
+		}
+	}
+}
+
 // A target may answer with any status. Guards against a failure that reaches the caller as
 // a success (MIXED), on the paths of plain services and of model engines.
 func TestStatusOfTargetReachesCaller(t *testing.T) {
@@ -93,6 +116,10 @@
 				continue // a stream
 			}
 			response := statusSite.ask(path, fmt.Sprintf("%03d", status))
+			if code.PromisesNotRun(status) {
+				checkUnknown(t, path, status, response)
+				continue
+			}
 			if response.status != status || response.body != "body" || response.header.Get("Response-Signature") != "s" {
 				t.Errorf("response to %s with status %d = %+v, want it unchanged", path, status, response)
 			}
