Log lines of denied requests tell the manifest in force, its age and what was looked up

Now the line of every request for which no service was found has them ("manifest", "host", "path", "manifest-age-ms", "store-contact-age-ms"). TestLogTellsManifestOfDeniedRequests failed before on each field.

--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -136,6 +136,8 @@
 	mesh            *mesh.Mesh
 	reach           *reach.Tracker
 	targetSource    *mirror.Source
+	manifestSource  *mirror.Source
+	manifestSince   atomic.Int64 // when the manifest was put in force, in nanoseconds since the start
 	storeContacts   storeContacts
 	crashes         *crash.Tracker
 	origins         *origin.Tracker
@@ -196,11 +198,12 @@
 	node.proxy = proxy.New(codec, node.client, node.scheduler, node.health, node,
 		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
 		proxy.WithInstanceCount(node.retryInstanceCount), proxy.WithPeers(node.detours, node.reach),
-		proxy.WithCrashTracker(node.crashes), proxy.WithOrigins(node.origins), proxy.WithResponseMemory(settings.MemoryBytes/bodyMemoryDivisor))
+		proxy.WithCrashTracker(node.crashes), proxy.WithOrigins(node.origins), proxy.WithManifestAge(node.manifestAge), proxy.WithResponseMemory(settings.MemoryBytes/bodyMemoryDivisor))
 	node.detourServer = node.newDetourServer()
 	node.roster = roster.New(codec.DecodeTarget, node.setTargets, logger)
 	node.mirror = mirror.New()
 	node.mirrorClient = mirror.NewClient()
+	node.manifestSource = mirror.NewSource(manifestTable, store.ManifestSource(), node.mirrorClient, node.chooseMirror)
 	node.targetSource = mirror.NewSource(targetTable, store.TargetSource(), node.mirrorClient, node.chooseMirror)
 	node.lease = lease.New(store, leaseName, settings.Instance,
 		lease.WithDuration(settings.Bounds.LeaseDuration), lease.WithLogger(logger),
@@ -230,7 +233,7 @@
 		node.cancel()
 		return err
 	}
-	manifests := node.follow(manifestTable, mirror.NewSource(manifestTable, node.store.ManifestSource(), node.mirrorClient, node.chooseMirror), manifestApplier{node})
+	manifests := node.follow(manifestTable, node.manifestSource, manifestApplier{node})
 	targets := node.follow(targetTable, node.targetSource, node.roster)
 	node.loopsDone = append(node.loopsDone, manifests.Start(ctx), targets.Start(ctx), node.syncMembers(ctx), node.fetchNewerManifests(ctx, node.mirrorClient), node.probeTargets(ctx), node.keepVersions(ctx), node.duties.Start(ctx))
 	node.leaseDone = node.lease.Start(ctx)
@@ -364,6 +367,7 @@
 			node.origins.SetManifest(manifest)
 		}
 		if node.proxy.SetManifest(manifest) {
+			node.manifestSince.Store(int64(time.Since(node.startTime)))
 			node.logger.Info().Str("part", "node").Int64("manifest", manifest.Version).Int("routes", len(manifest.Routes)).
 				Int("keys", len(manifest.Teams)).Uint64("row-version", change.Version).Msg("manifest in force")
 			node.updateTargets()
@@ -371,6 +375,13 @@
 	}
 }
 
+// manifestAge returns how long the manifest has been in force, and how long ago the store was
+// last heard for its table.
+func (node *Node) manifestAge() (inForce, sinceContact time.Duration) {
+	inForce = time.Since(node.startTime) - time.Duration(node.manifestSince.Load())
+	return inForce, time.Since(node.manifestSource.LastContact())
+}
+
 // Names of the tables in requests to mirrors.
 const (
 	manifestTable = "manifest"
--- a/internal/transport/proxy/log.go
+++ b/internal/transport/proxy/log.go
@@ -55,8 +55,13 @@
 	}
 	if exchange.route != nil {
 		event.Str("route", exchange.route.Name).Str("team", exchange.team.Name).Str("service", exchange.service.Name)
+	}
+	if exchange.manifest != nil {
 		event.Int64("manifest", exchange.manifest.Version)
 	}
+	if exchange.service.Name == "" {
+		exchange.logUnresolved(event)
+	}
 	if !exchange.deadline.IsZero() {
 		event.Int64("deadline-ms", exchange.deadline.Sub(exchange.started).Milliseconds())
 	}
@@ -81,6 +86,18 @@
 	event.Msg("request ended")
 }
 
+// logUnresolved adds what tells why the manifest did not allow a request: what was looked up,
+// and how current the manifest is.
+func (exchange *exchange) logUnresolved(event *zerolog.Event) {
+	if request := exchange.request; request != nil {
+		event.Str("host", sanitizeForLog(request.Host)).Str("path", sanitizeForLog(request.Path))
+	}
+	if age := exchange.proxy.manifestAge; age != nil && exchange.manifest != nil {
+		inForce, sinceContact := age()
+		event.Int64("manifest-age-ms", inForce.Milliseconds()).Int64("store-contact-age-ms", sinceContact.Milliseconds())
+	}
+}
+
 func (exchange *exchange) logFailure(event *zerolog.Event) {
 	if exchange.failure == nil {
 		return
--- a/internal/transport/proxy/log_test.go
+++ b/internal/transport/proxy/log_test.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"mangopier.example/mangopier/internal/protocol/site"
+	"mangopier.example/mangopier/internal/transport/proxy"
 )
 
 // The log line of a failed request must tell a connection that its target closed
@@ -34,3 +36,25 @@
 		}
 	}
 }
+
+// The log line of a request that the manifest does not allow must tell a manifest that lacks
+// the route or the key from one that is out of date.
+func TestLogTellsManifestOfDeniedRequests(t *testing.T) {
+	age := func() (time.Duration, time.Duration) { return 7 * time.Second, 300 * time.Millisecond }
+	for name, change := range map[string]func(*http.Request){
+		"host": func(request *http.Request) { request.Host = "other.example" },
+		"path": func(request *http.Request) { request.URL.Path = "/none/x" },
+		"key":  func(request *http.Request) { request.Header.Set("Authorization", "Bearer other") },
+	} {
+		harness := newHarness(t, proxy.WithManifestAge(age))
+		request := harness.newRequest(http.MethodPost, "/book/x")
+		change(request)
+		harness.do(request)
+		harness.front.Close() // waits for the log line
+		for _, field := range []string{`"manifest":1`, `"host":"` + request.Host, `"path":"` + request.URL.Path, `"manifest-age-ms":7000`, `"store-contact-age-ms":300`} {
+			if log := harness.log.String(); !strings.Contains(log, field) {
+				t.Errorf("log of a request denied for its %s = %s, want %s", name, log, field)
+			}
+		}
+	}
+}
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -94,6 +94,13 @@
 	return func(proxy *Proxy) { proxy.origins = origins }
 }
 
+// WithManifestAge sets the function that returns how long the manifest has been in force and
+// how long ago the store was last heard, for the log lines of requests that the manifest does
+// not allow. By default these lines have no such fields.
+func WithManifestAge(age func() (inForce, sinceContact time.Duration)) Option {
+	return func(proxy *Proxy) { proxy.manifestAge = age }
+}
+
 // Proxy is the http.Handler of callers' requests. Its methods may be called by
 // several goroutines.
 type Proxy struct {
@@ -112,6 +119,7 @@
 	logger        zerolog.Logger
 	metrics       *metrics
 
+	manifestAge  func() (inForce, sinceContact time.Duration) // nil if it is not known
 	manifest     atomic.Pointer[site.Manifest]
 	draining     atomic.Bool
 	ended        context.Context //nolint:containedctx // ends when no request may run any longer
