--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -39,6 +39,7 @@
 	soakEarlierPauses = flag.Bool("soak.earlier-pauses", true, "whether the earlier build heeds pauses")
 	soakBuild         = flag.String("soak.build", "", "commit of the build that is tested, the current one by default")
 	soakCount         = flag.Int("soak.instances", soakInstances, "number of instances")
+	soakTargetFault   = flag.Int("soak.target-fault", 0, "the only fault that is injected, by its number in targetFaults; all kinds of faults by default")
 	soakLogs          = flag.String("soak.logs", "", "folder in which the logs of the instances are kept, none by default")
 )
 
@@ -350,6 +351,13 @@
 			faults = append(faults, func() { soak.changeBuild(instance) }, func() { soak.changeBuild(instance) })
 		}
 		inject := faults[soak.random.IntN(len(faults))]
+		if *soakTargetFault > 0 {
+			inject = func() {
+				soak.targets.fault.Store(int32(*soakTargetFault))
+				time.Sleep(duration)
+				soak.targets.fault.Store(0)
+			}
+		}
 		if instance.faulty.CompareAndSwap(false, true) {
 			pending.Add(1)
 			go func() {
