A stream that nobody knows goes on only after a look at the current list of targets

Callers saw (report of other operators; shown here by test): streams that hold events of two software versions (ORDER). While an instance was cut off or stood still, targets of another version joined. Streams that began there through other instances broke, were taken up at that instance and went on at the version that it knew.

Cause: an instance that was told of no such stream took it for one of the single version that its list of targets has. Its list may be older than the stream, and the heartbeats that tell the stream are sent twice only.

Evidence: TestStreamIsNotTakenUpByOutdatedListOfTargets failed before ("stream begun-elsewhere began at v2 and goes on at v1").

Now such a guess needs a list that the store has sent after the caller took the stream up. Streams that were told go on as before, without a read.

Ruled out: to compare the age of the list with that of the heartbeats. A list of a quiet table is up to 1.7 s old in normal operation, and a stream begins within milliseconds after a target has joined.

--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -42,6 +42,13 @@
 	return func(tracker *Tracker) { tracker.knownSince = time.Time{} }
 }
 
+// WithCurrentTargets sets the function that reads the list of targets anew. Its result is as
+// of a time after the call; false stands for none. Without the option, the list at hand
+// counts as current.
+func WithCurrentTargets(read func(ctx context.Context) ([]site.Target, bool)) Option {
+	return func(tracker *Tracker) { tracker.readTargets = read }
+}
+
 // Tracker keeps the origins of streams. Its methods may be called by several goroutines.
 type Tracker struct {
 	mutex      sync.Mutex
@@ -52,6 +59,8 @@
 	knownSince time.Time              // from when on no version was in service that is not in sightings
 	round      int                    // of reports
 
+	readTargets func(ctx context.Context) ([]site.Target, bool) // nil if the list at hand is current
+
 	// The streams of the current and the previous generation. A generation lasts at
 	// least for the memory.
 	current, previous map[uint64]sighting
@@ -114,15 +123,15 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	now := time.Now()
-	tracker.markInService(now) // those that leave the list were in service until now
+	tracker.markInService(tracker.targets, now) // those that leave the list were in service until now
 	tracker.targets = targets
-	tracker.markInService(now)
+	tracker.markInService(tracker.targets, now)
 }
 
-// markInService records that the versions of the listed targets are in service.
-func (tracker *Tracker) markInService(now time.Time) {
-	for i := range tracker.targets {
-		target := &tracker.targets[i]
+// markInService records that the versions of targets are in service.
+func (tracker *Tracker) markInService(targets []site.Target, now time.Time) {
+	for i := range targets {
+		target := &targets[i]
 		tracker.sightings[sighting{target.Service, target.Software}] = now
 	}
 }
@@ -150,21 +159,30 @@
 	tracker.changed = make(chan struct{})
 }
 
-// Lookup returns the version that began the stream of a caller's attempt. It returns
-// false if the version is not known.
+// Lookup returns the version that began the stream of a caller's attempt, as far as this
+// instance knows the versions in service. It returns false if the version is not known.
 func (tracker *Tracker) Lookup(service, attempt string) (string, bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return tracker.lookup(service, attempt)
+	if version, ok := tracker.recall(service, attempt); ok {
+		return version, true
+	}
+	return tracker.single(service)
 }
 
-func (tracker *Tracker) lookup(service, attempt string) (string, bool) {
+// recall returns the version of a stream that this instance began or was told.
+func (tracker *Tracker) recall(service, attempt string) (string, bool) {
 	hash := streamHash(service, attempt)
 	for _, streams := range []map[uint64]sighting{tracker.current, tracker.previous} {
 		if known, ok := streams[hash]; ok {
 			return known.version, true
 		}
 	}
+	return "", false
+}
+
+// single returns the version of a service if no other one can have begun its streams.
+func (tracker *Tracker) single(service string) (string, bool) {
 	now := time.Now()
 	if now.Sub(tracker.knownSince) < tracker.memory {
 		return "", false
@@ -180,31 +198,58 @@
 	}
 }
 
-// Await is Lookup, but waits for other instances to tell the stream until wait has
-// passed or ctx ends.
+// Await is Lookup, but waits for other instances to tell the stream until wait has passed or
+// ctx ends. If none has told it yet, the list of targets is read anew: this instance may have
+// been cut off or paused while targets of another version joined and began the stream.
 func (tracker *Tracker) Await(ctx context.Context, service, attempt string, wait time.Duration) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	var current <-chan bool
+	isCurrent := tracker.readTargets == nil
 	for {
 		tracker.mutex.Lock()
-		version, ok := tracker.lookup(service, attempt)
+		version, ok := tracker.recall(service, attempt)
+		if !ok && isCurrent {
+			version, ok = tracker.single(service)
+		}
 		changed := tracker.changed
 		tracker.mutex.Unlock()
 		if ok {
 			return version, true
 		}
+		if !isCurrent && current == nil {
+			current = tracker.refresh(ctx)
+		}
 		select {
 		case <-changed:
+		case isCurrent = <-current:
 		case <-ctx.Done():
 			return "", false
 		}
 	}
 }
 
+// refresh reads the list of targets and records the versions in it. The channel gets true
+// when that is done, and nothing if the list cannot be read.
+func (tracker *Tracker) refresh(ctx context.Context) <-chan bool {
+	done := make(chan bool, 1)
+	go func() {
+		targets, ok := tracker.readTargets(ctx)
+		if !ok {
+			return
+		}
+		tracker.mutex.Lock()
+		defer tracker.mutex.Unlock()
+		tracker.markInService(targets, time.Now())
+		done <- true
+	}()
+	return done
+}
+
 // versions returns the versions that may have begun a stream of a service that can still
 // be taken up, sorted.
 func (tracker *Tracker) versions(service string, now time.Time) []string {
-	tracker.markInService(now)
+	tracker.markInService(tracker.targets, now)
 	var versions []string
 	for seen, at := range tracker.sightings {
 		switch {
--- a/internal/coordination/origin/origin_test.go
+++ b/internal/coordination/origin/origin_test.go
@@ -300,3 +300,33 @@
 		}
 	})
 }
+
+// Targets of another version have joined since the list at hand was read. Guards against
+// taking the only version at hand for that of a stream that nobody knows.
+func TestAwaitReadsTargetsAnewForUnknownStream(t *testing.T) {
+	for name, test := range map[string]struct {
+		current []site.Target
+		ok      bool
+		want    string // empty if the version is not known
+	}{
+		"another version has joined": {targets("v1", "v2"), true, ""},
+		"one version is left":        {targets("v1"), true, "v1"},
+		"the list cannot be read":    {nil, false, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tracker := newTracker(origin.WithFirstStart(), origin.WithCurrentTargets(func(context.Context) ([]site.Target, bool) {
+					return test.current, test.ok
+				}))
+				tracker.SetTargets(targets("v1"))
+				if version, ok := tracker.Await(t.Context(), service, "unknown", time.Second); version != test.want || ok != (test.want != "") {
+					t.Errorf("Await() of an unknown stream = %q, %t, want %q", version, ok, test.want)
+				}
+				tracker.Record(service, "told", "v3")
+				if version, ok := tracker.Await(t.Context(), service, "told", time.Second); version != "v3" || !ok {
+					t.Errorf("Await() of a stream that is known = %q, %t, want v3", version, ok)
+				}
+			})
+		})
+	}
+}
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -159,7 +159,8 @@
 	cancel         context.CancelFunc
 	loopsDone      []<-chan struct{}
 	leaseDone      <-chan error
-	announcements  announcements     // used on the goroutine that composes heartbeats
+	announcements  announcements // used on the goroutine that composes heartbeats
+	listRequests   chan chan<- []site.Target
 	newerManifests chan peerManifest // manifests of peers that are newer than the one in force
 }
 
@@ -172,6 +173,7 @@
 		bootID:         rand.Uint64(),
 		startTime:      time.Now(),
 		newerManifests: make(chan peerManifest, 1),
+		listRequests:   make(chan chan<- []site.Target),
 		scheduler:      place.New(place.WithDataCenter(settings.DataCenter)),
 		health:         health.New(health.WithEjection(ejectionTime, rampTime)),
 		meter:          tally.New(settings.Bounds.UsageWindow),
@@ -189,7 +191,7 @@
 		mesh.Callbacks{Compose: node.composeHeartbeat, Receive: node.receiveHeartbeat, MemberDown: node.forgetMember}, logger)
 	node.reach = reach.New(reach.WithLogger(logger))
 	node.crashes = crash.New(crash.WithLogger(logger), crash.WithInstances(settings.Instance, node.mesh.LiveNames))
-	var originOptions []origin.Option
+	originOptions := []origin.Option{origin.WithCurrentTargets(node.currentTargets)}
 	if settings.Bootstrap {
 		originOptions = append(originOptions, origin.WithFirstStart())
 	}
@@ -235,7 +237,7 @@
 	}
 	manifests := node.follow(manifestTable, node.manifestSource, manifestApplier{node})
 	targets := node.follow(targetTable, node.targetSource, node.roster)
-	node.loopsDone = append(node.loopsDone, manifests.Start(ctx), targets.Start(ctx), node.syncMembers(ctx), node.fetchNewerManifests(ctx, node.mirrorClient), node.probeTargets(ctx), node.keepVersions(ctx), node.duties.Start(ctx))
+	node.loopsDone = append(node.loopsDone, manifests.Start(ctx), targets.Start(ctx), node.syncMembers(ctx), node.fetchNewerManifests(ctx, node.mirrorClient), node.probeTargets(ctx), node.keepVersions(ctx), node.serveListRequests(ctx), node.duties.Start(ctx))
 	node.leaseDone = node.lease.Start(ctx)
 	return nil
 }
--- a/internal/transport/node/version_test.go
+++ b/internal/transport/node/version_test.go
@@ -19,6 +19,7 @@
 type versionSite struct {
 	t        *testing.T
 	store    *fakeStore
+	stores   [2]*endpoint // the store as each instance sees it
 	settings [2]site.Settings
 	nodes    [2]*node.Node
 	log      *logBuffer
@@ -41,7 +42,8 @@
 	t.Cleanup(control.Close)
 	ports := [2]int{freePort(t), freePort(t)}
 	for i, name := range []string{"a", "b"} {
-		versions.settings[i] = nodeSettings(t, name, fmt.Sprintf("127.0.0.%d", i+1), versions.store.endpoint(t).address, control.Listener.Addr().String(), ports)
+		versions.stores[i] = versions.store.endpoint(t)
+		versions.settings[i] = nodeSettings(t, name, fmt.Sprintf("127.0.0.%d", i+1), versions.stores[i].address, control.Listener.Addr().String(), ports)
 		versions.start(i)
 	}
 	t.Cleanup(func() {
@@ -215,3 +217,25 @@
 	versions.restart(0, 1)
 	eventually(t, "the streams go on", func() bool { return versions.takeUp(1, attempts) == len(attempts) })
 }
+
+// An instance is cut off while engines of another version join. Guards against a stream that
+// began there, through an instance that it did not hear, going on at the one version that the
+// instance knows (ORDER).
+func TestStreamIsNotTakenUpByOutdatedListOfTargets(t *testing.T) {
+	versions := newVersionSite(t)
+	for _, id := range []string{"d1-v2", "d2-v2"} {
+		versions.store.remove("servers", id)
+	}
+	eventually(t, "one version is left", func() bool {
+		return !versions.store.contains("stream-versions", "v2") && versions.store.contains("stream-versions", "v1")
+	})
+	versions.stores[1].hangs.Store(true)
+	versions.nodes[0].Stop()
+	versions.startEngine("d3-v2", "v2", "decode")
+	versions.mutex.Lock()
+	versions.began["begun-elsewhere"] = "v2"
+	versions.mutex.Unlock()
+	if wentOn := versions.takeUp(1, []string{"begun-elsewhere"}); wentOn > 0 {
+		t.Error("a stream of another version went on at an instance that did not know it")
+	}
+}
--- a/internal/transport/node/versions.go
+++ b/internal/transport/node/versions.go
@@ -13,6 +13,7 @@
 	"mangopier.example/mangopier/internal/coordination/lease"
 	"mangopier.example/mangopier/internal/coordination/pause"
 	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/protocol/site"
 )
 
 const (
@@ -47,6 +48,81 @@
 	node.mesh.Send(data, address)
 }
 
+// listInterval is the least time between two reads of the list of targets for streams that
+// nobody knows.
+const listInterval = 50 * time.Millisecond
+
+// currentTargets returns the list of targets as the store has it after the call. It returns
+// false if ctx ends before the store has answered.
+func (node *Node) currentTargets(ctx context.Context) ([]site.Target, bool) {
+	listed := make(chan []site.Target, 1)
+	select {
+	case node.listRequests <- listed:
+	case <-ctx.Done():
+		return nil, false
+	}
+	select {
+	case targets := <-listed:
+		return targets, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
+// serveListRequests reads the list of targets for those that wait for it, once for all that
+// have asked before the read, until ctx ends.
+func (node *Node) serveListRequests(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case listed := <-node.listRequests:
+				node.answerListRequests(ctx, append(node.waitingListRequests(), listed))
+			}
+			pause.For(ctx, listInterval)
+		}
+	}()
+	return done
+}
+
+// waitingListRequests returns the requests that wait to be taken.
+func (node *Node) waitingListRequests() []chan<- []site.Target {
+	var waiting []chan<- []site.Target
+	for {
+		select {
+		case listed := <-node.listRequests:
+			waiting = append(waiting, listed)
+		default:
+			return waiting
+		}
+	}
+}
+
+// listTimeout is longer than a sound store takes, and shorter than the wait for a version.
+const listTimeout = 200 * time.Millisecond
+
+func (node *Node) answerListRequests(ctx context.Context, waiting []chan<- []site.Target) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	page, err := node.store.TargetSource().List(ctx)
+	if err != nil {
+		node.logger.Info().Str("part", "node").Err(err).Int("streams", len(waiting)).Msg("list of targets cannot be read; streams of unknown version are refused")
+		return
+	}
+	var targets []site.Target
+	for _, change := range page.Changes {
+		if target, err := node.codec.DecodeTarget(change.Key, change.Value); err == nil { // the roster logs rows that cannot be decoded
+			targets = append(targets, target)
+		}
+	}
+	for _, listed := range waiting {
+		listed <- targets
+	}
+}
+
 // versionsRow is the value of the row.
 type versionsRow struct {
 	Versions map[string][]string `json:"versions"` // by service
