Watches of the store wait no longer than tables of mirrors stay fresh

Cause: since a watch waits for four fifths of the contact time less 900 ms. The contact time is 5 s there, so that it waits 3.1 s. The table of a mirror counts as stale from 2.5 s on: twice in seven seconds all 187 instances that read mirrors found their tables stale and listed the store. With 4 s (the grown sites) the wait of 2.3 s and the 0.2 s between two calls just reach that age, with 3 s they stay below it.

A watch still has four fifths of the contact time to return, so that a silent connection hides changes no longer than before.

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -40,6 +40,10 @@
 	// responseMargin is how long after its wait a watch may return. Slow responses
 	// of the store take about 300 ms.
 	responseMargin = 900 * time.Millisecond
+	// maxWatchWait keeps the time between two responses of the store, with minCallInterval
+	// and a slow response, below the age from which the table of a mirror counts as stale.
+	// All that read the mirror list the store then.
+	maxWatchWait = 2 * time.Second
 	// listInterval is the time between full lists, which make up for changes
 	// that Watch did not deliver.
 	listInterval = 10 * time.Second
@@ -163,7 +167,7 @@
 	if len(follower.missingUntil) > 0 {
 		return minCallInterval
 	}
-	return max(minCallInterval, follower.responseLimit-responseMargin)
+	return max(minCallInterval, min(maxWatchWait, follower.responseLimit-responseMargin))
 }
 
 // logFailedWatch logs a watch that ended without a response. Its time tells a
