Of two engines that write one stream, the one that began first is left at once

Targets saw: an engine went on with a stream for up to 580 ms after another one had begun to resume it ("A request goes on at another runner while the runner before still works on it 400 ms later", rule TWICE).

Cause: the run that is to resume a silent stream takes over with its first whole event, and the silent one with its next event. An engine that stops within its first event left both at work until one of them went on.

TestOnlyOneEngineWritesStream failed before in both orders (the first engine waits to be left until the caller's deadline).

A header alone ends no run, as before.

Whether the users' cases of TWICE hold such ones their record does not tell.

--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -171,6 +171,11 @@
 	run.eventsEnd = 0
 }
 
+// hasBegun reports whether the engine has written a part of its stream.
+func (run *decodeRun) hasBegun() bool {
+	return run.hasSent || len(run.pending) > 0
+}
+
 // hasEvent reports whether a complete event is pending, or the body ended as
 // complete.
 func (run *decodeRun) hasEvent() bool {
--- a/internal/transport/proxy/generate.go
+++ b/internal/transport/proxy/generate.go
@@ -43,7 +43,8 @@
 // generation is the decode stage of a request. One run is active, and its events
 // go to the caller. If it is silent, a standby run is started that resumes the
 // stream. The first of the two to send an event goes on: a silent engine may be
-// sound, and the other one may refuse or fail.
+// sound, and the other one may refuse or fail. If both have begun to write, the one that
+// began last goes on.
 type generation struct {
 	exchange   *exchange
 	stream     *stream
@@ -178,7 +179,7 @@
 			silent = true
 			generation.startStandby(ctx)
 		}
-		for generation.standby != nil && generation.standby.hasEvent() {
+		for generation.standby != nil && (generation.standby.hasEvent() || generation.bothBegun()) {
 			select { // the active run may have gone on at the same time
 			case result, ok := <-generation.active.results:
 				if outcome, ended := generation.handleActive(result, ok); ended {
@@ -219,15 +220,24 @@
 		outcome := generation.accept(run, result)
 		return outcome, outcome != outcomeOpened
 	}
+	began := !run.hasBegun()
 	run.receive(result, ok)
+	began = began && run.hasBegun()
 	writes := generation.stream.writes
 	outcome, ended := generation.forwardActive()
-	if generation.stream.writes > writes {
+	if generation.stream.writes > writes || (began && generation.bothBegun()) {
 		generation.dropStandby()
 	}
 	return outcome, ended
 }
 
+// bothBegun reports whether the engines of both runs write their streams. Of two such runs
+// the one that began first is ended at once: a request must not go on at one engine while
+// another works on it.
+func (generation *generation) bothBegun() bool {
+	return generation.active.hasBegun() && generation.standby != nil && generation.standby.hasBegun()
+}
+
 // forwardActive forwards the pending events of the active run, and reports whether
 // the run has ended.
 func (generation *generation) forwardActive() (callOutcome, bool) {
--- a/internal/transport/proxy/takeover_test.go
+++ b/internal/transport/proxy/takeover_test.go
@@ -133,3 +133,51 @@
 		t.Errorf("response = %+v, want status %d and the engine's body\nlog: %s", response, http.StatusUnprocessableEntity, harness.log)
 	}
 }
+
+// Two engines write the stream of one request: the one that began it and was silent, and the
+// one that goes on, which stops within its first event. Guards against both working on the
+// request until one has a whole event (TWICE). The engine that began last writes on only
+// when the other has been left.
+func TestOnlyOneEngineWritesStream(t *testing.T) {
+	for name, firstEvents := range map[string]int{"silent after events": 2, "silent before its first event": 0} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t)
+			harness.startTarget("p1", "llm", site.Prefill, respondPrefilled)
+			var runs atomic.Int64
+			resuming, left := make(chan struct{}), make(chan struct{})
+			writePart := func(w http.ResponseWriter, r *http.Request, text string) {
+				sendStreamHeader(w, r)
+				_, _ = io.WriteString(w, text)
+				w.(http.Flusher).Flush()
+			}
+			decode := func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				first := runs.Add(1) == 1
+				switch {
+				case first && firstEvents > 0: // is left when the other one begins
+					sendEvents(w, r, firstEvents)
+					<-r.Context().Done()
+					close(left)
+				case first: // begins after the other one, which is left
+					<-resuming
+					time.Sleep(50 * time.Millisecond)
+					writePart(w, r, eventText(1)[:5])
+					<-left
+					_, _ = io.WriteString(w, eventText(1)[5:]+eventText(2)+eventText(3)+eventText(4))
+				case firstEvents > 0:
+					writePart(w, r, eventText(3)[:5])
+					<-left
+					_, _ = io.WriteString(w, eventText(3)[5:]+eventText(4))
+				default:
+					writePart(w, r, eventText(1)[:5])
+					close(resuming)
+					<-r.Context().Done()
+					close(left)
+				}
+			}
+			harness.startTarget("d1", "llm", site.Decode, decode)
+			harness.startTarget("d2", "llm", site.Decode, decode)
+			harness.wantFourEvents(harness.do(harness.newRequest(http.MethodPost, "/resume/x")))
+		})
+	}
+}
