--- a/internal/transport/node/soak_repeat_test.go
+++ b/internal/transport/node/soak_repeat_test.go
@@ -112,6 +112,37 @@
 	soak.t.Logf("%d requests served, %d attempts of %d requests that must not run twice, %d refused with a promise", soak.served.Load(), len(soak.attempts), len(runsOfOrder), promises)
 }
 
+// takeoverSlack is how long a target may still work on a request that goes on at another one.
+const takeoverSlack = 400 * time.Millisecond
+
+// checkTakeovers checks the rule TWICE for streams that may be resumed: a target does not work
+// on a request that has gone on at another one.
+func (targets *soakTargets) checkTakeovers() {
+	targets.mutex.Lock()
+	defer targets.mutex.Unlock()
+	runs := map[string][]soakArrival{}
+	for _, arrival := range targets.arrivals {
+		if arrival.service == "llm" && arrival.run && !arrival.begunAt.IsZero() {
+			runs[arrival.attempt] = append(runs[arrival.attempt], arrival)
+		}
+	}
+	takeovers := 0
+	for attempt, arrivals := range runs {
+		for _, first := range arrivals {
+			for _, next := range arrivals {
+				if first.target == next.target || !next.begunAt.After(first.begunAt) {
+					continue
+				}
+				takeovers++
+				if late := first.endedAt.Sub(next.begunAt); late > takeoverSlack && !targets.isExcused(first.sender, first.begunAt.Add(-contactTime), first.endedAt) {
+					targets.t.Errorf("TWICE: target %s worked on request %s for %v after it had gone on at %s, want at most %v", first.target, attempt, late, next.target, takeoverSlack)
+				}
+			}
+		}
+	}
+	targets.t.Logf("%d streams went on at another target", takeovers)
+}
+
 // ownStatuses are those with which targets fail after they have run a request.
 var ownStatuses = []int{
 	http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests,
--- a/internal/transport/node/soak_target_test.go
+++ b/internal/transport/node/soak_target_test.go
@@ -27,8 +27,9 @@
 // targetFaults is the number of faults of targets: 1 loses the response, 2 refuses the
 // request, 3 withholds the response, 4 refuses and asks for a pause, 5 breaks off a
 // stream or delays a response, 6 runs the request and fails, 7 stops within the head of a
-// response, 8 repeats a refusal where a later response is due, 9 is any of these.
-const targetFaults = 9
+// response, 8 repeats a refusal where a later response is due, 9 pauses within a stream, 10 is
+// any of these.
+const targetFaults = 10
 
 // soakTargets are the targets of a plain service and the engines of a model service.
 type soakTargets struct {
@@ -72,6 +73,8 @@
 	prefilled                          bool          // a prefill that the target accepted
 	run                                bool          // the target began to run the request
 	crashing                           bool          // the target that runs the request crashes
+	begunAt                            time.Time     // when the first event was sent, zero for none
+	endedAt                            time.Time     // when the target stopped working on the request
 }
 
 // soakPauseAsked is a pause that a target asked for.
@@ -96,6 +99,9 @@
 
 const soakEventCount = 3
 
+// soakSilence is about the time after which instances ask another engine to go on.
+const soakSilence = 700 * time.Millisecond
+
 // soakEvents returns the events of a stream from one on.
 func soakEvents(first int) string {
 	text := ""
@@ -257,7 +263,8 @@
 	refused := fault == 2 || fault == 4 || fault == 8
 	arrival.prefilled = target.stage == "prefill" && !refused && fault != 1 && fault != 6 && fault != 7
 	arrival.run = target.stage != "prefill" && !refused
-	target.record(arrival, fault == 4)
+	recorded := target.record(arrival, fault == 4)
+	defer target.targets.update(recorded, func(arrival *soakArrival) { arrival.endedAt = time.Now() })
 	w.Header().Set("Attempt-Id", arrival.attempt)
 	switch {
 	case fault == 8:
@@ -280,6 +287,7 @@
 	case fault == 7:
 		target.breakHead(w, arrival.attempt)
 	default:
+		target.targets.update(recorded, func(arrival *soakArrival) { arrival.begunAt = time.Now() })
 		target.answer(w, r, arrival, fault)
 	}
 }
@@ -311,6 +319,16 @@
 		w.Header().Set("Content-Type", "text/event-stream")
 		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		events := soakEvents(last + 1)
+		if fault == 9 {
+			_, _ = io.WriteString(w, events[:len(events)/soakEventCount])
+			w.(http.Flusher).Flush()
+			events = events[len(events)/soakEventCount:]
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(rand.N(2 * soakSilence)):
+			}
+		}
 		if fault == 5 {
 			_, _ = io.WriteString(w, events[:len(events)*2/3])
 			w.(http.Flusher).Flush()
@@ -325,7 +343,8 @@
 	}
 }
 
-func (target *soakTarget) record(arrival soakArrival, pause bool) {
+// record keeps an arrival and returns its index.
+func (target *soakTarget) record(arrival soakArrival, pause bool) int {
 	targets := target.targets
 	targets.mutex.Lock()
 	defer targets.mutex.Unlock()
@@ -337,4 +356,12 @@
 	if pause {
 		targets.pauses = append(targets.pauses, soakPauseAsked{target.id, arrival.instance, arrival.sender, arrival.at})
 	}
+	return len(targets.arrivals) - 1
+}
+
+// update changes what is kept of an arrival.
+func (targets *soakTargets) update(index int, change func(*soakArrival)) {
+	targets.mutex.Lock()
+	defer targets.mutex.Unlock()
+	change(&targets.arrivals[index])
 }
--- a/internal/transport/node/soak_test.go
+++ b/internal/transport/node/soak_test.go
@@ -180,6 +180,7 @@
 	soak.sendCrashingRequests()
 	soak.sendDeadlyPrompts()
 	soak.check()
+	soak.targets.checkTakeovers()
 	soak.targets.checkBudget()
 	soak.targets.checkLeft()
 }
