Soak: a connection is named by both of its ends

The links were told by the source address of their connections, and the kernel gives one source port to connections to different targets.

--- a/internal/transport/node/link_test.go
+++ b/internal/transport/node/link_test.go
@@ -34,7 +34,7 @@
 	t       *testing.T
 	address netip.AddrPort
 	target  string
-	dialed  func(source string) // told the source address of each connection to the target, nil for none
+	dialed  func(connection string) // told each connection to the target, see connectionName; nil for none
 
 	mutex    sync.Mutex
 	listener net.Listener // nil while new connections are not accepted
@@ -53,9 +53,13 @@
 	return newWatchedLink(t, target, nil)
 }
 
-// newWatchedLink returns a link that tells the source address of each connection that it
-// makes to the target, before anything is sent on it.
-func newWatchedLink(t *testing.T, target string, dialed func(source string)) *link {
+// connectionName names an open connection by both of its ends: connections to different
+// targets may have the same source port.
+func connectionName(source, target string) string { return source + " " + target }
+
+// newWatchedLink returns a link that tells each connection that it makes to the target,
+// before anything is sent on it.
+func newWatchedLink(t *testing.T, target string, dialed func(connection string)) *link {
 	t.Helper()
 	link := &link{t: t, target: target, dialed: dialed, backlog: -1, conns: map[net.Conn]bool{}, silent: make(chan struct{}), muted: make(chan struct{})}
 	close(link.silent)
@@ -86,7 +90,7 @@
 		link.conns[conn], link.conns[target] = true, true
 		link.mutex.Unlock()
 		if link.dialed != nil {
-			link.dialed(target.LocalAddr().String())
+			link.dialed(connectionName(target.LocalAddr().String(), target.RemoteAddr().String()))
 		}
 		link.mutex.Lock()
 		forgot := link.forgot
--- a/internal/transport/node/soak_link_test.go
+++ b/internal/transport/node/soak_link_test.go
@@ -11,14 +11,14 @@
 // by the addresses of these links.
 type soakLinks struct {
 	t      *testing.T
-	dialed func(source string) // see newWatchedLink
+	dialed func(connection string) // see newWatchedLink
 
 	mutex sync.Mutex
 	links map[string]*link // by address of the target
 	order []*link          // as they were made
 }
 
-func newSoakLinks(t *testing.T, dialed func(source string)) *soakLinks {
+func newSoakLinks(t *testing.T, dialed func(connection string)) *soakLinks {
 	return &soakLinks{t: t, dialed: dialed, links: map[string]*link{}}
 }
 
--- a/internal/transport/node/soak_repeat_test.go
+++ b/internal/transport/node/soak_repeat_test.go
@@ -198,7 +198,7 @@
 	}
 	target.record(soakArrival{
 		service: target.service, target: target.id, attempt: next.Header.Get("Attempt-Id"), at: time.Now(),
-		source: conn.RemoteAddr().String(), deadline: soakDeadline, run: target.stage != "prefill",
+		connection: connectionName(conn.RemoteAddr().String(), target.server.Listener.Addr().String()), deadline: soakDeadline, run: target.stage != "prefill",
 	}, false)
 	_, _ = io.WriteString(conn, refusal)
 }
--- a/internal/transport/node/soak_target_test.go
+++ b/internal/transport/node/soak_target_test.go
@@ -36,7 +36,7 @@
 	t     *testing.T
 	fault atomic.Int32 // 0 for none
 
-	senders sync.Map               // names of instances by the source address of a connection
+	senders sync.Map               // names of instances by connection, see connectionName
 	limited atomic.Pointer[string] // ID of the target that names a limit
 
 	mutex    sync.Mutex
@@ -68,7 +68,7 @@
 	service, target, attempt, instance string
 	sender                             string // instance whose link it came by, the other one if it was forwarded
 	at                                 time.Time
-	source                             string        // address of its connection
+	connection                         string        // that it came by, see connectionName
 	deadline                           time.Duration // until the caller's deadline, 0 if the target was told none
 	prefilled                          bool          // a prefill that the target accepted
 	run                                bool          // the target began to run the request
@@ -241,7 +241,7 @@
 		return
 	}
 	arrival := soakArrival{
-		service: target.service, target: target.id, attempt: r.Header.Get("Attempt-Id"), at: time.Now(), source: r.RemoteAddr,
+		service: target.service, target: target.id, attempt: r.Header.Get("Attempt-Id"), at: time.Now(), connection: connectionName(r.RemoteAddr, target.server.Listener.Addr().String()),
 		crashing: string(body) == crashingBody || strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart),
 	}
 	target.checkHeader(r)
@@ -349,7 +349,7 @@
 	targets.mutex.Lock()
 	defer targets.mutex.Unlock()
 	arrival.instance = targets.requests[arrival.attempt].instance
-	if sender, ok := targets.senders.Load(arrival.source); ok {
+	if sender, ok := targets.senders.Load(arrival.connection); ok {
 		arrival.sender, _ = sender.(string)
 	}
 	targets.arrivals = append(targets.arrivals, arrival)
