--- a/internal/transport/node/soak_budget_test.go
+++ b/internal/transport/node/soak_budget_test.go
@@ -204,6 +204,9 @@
 		if targets.isExcused(pause.instance, pause.at.Add(-soakRestartTime), pause.at.Add(soakPause)) {
 			continue
 		}
+		if !targets.requests[pause.attempt].leftAt.IsZero() { // the connection may have been closed before the answer
+			continue
+		}
 		count := 0
 		for _, arrival := range targets.arrivals {
 			age := arrival.at.Sub(pause.at)
