--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -309,7 +309,6 @@
 }
 
 func (s *site) addRunner(added *runner) *runner {
-
 	added.site = s
 	s.runners = append(s.runners, added)
 	if added.address == "" {
