Lease: a restore of a store whose first era is 0 is seen

Callers saw nothing yet; duties (orders, usage) would have stopped for good. The holder went on renewing, while Held compared the eras and returned false for ever.

The era counts as known once the table has answered a call of the lease, whatever its number. Grant tells the era, which the usage reports need next.

TestRestoreOfFirstEraZeroIsSeen failed before: "Held() = {Epoch:0 ...}, false after the restore, want an epoch above 1 in era 1".

--- a/internal/coordination/lease/contest.go
+++ b/internal/coordination/lease/contest.go
@@ -16,7 +16,9 @@
 	consecutiveFailures int    // of store calls
 	takeoverAttempts    uint64 // part of the nonces of takeovers
 	heartbeatMissing    bool   // the last read found an epoch row and no heartbeat row
+	answered            bool   // the table has answered a call
 	era                 uint64
+	eraKnown            bool
 	// unsureSince is the time from which on there may be a holder whose rows the table
 	// does not have.
 	unsureSince time.Time
@@ -44,11 +46,11 @@
 }
 
 // followEra ends the ownership, and what was observed, when the table has been restored
-// from a copy. It returns true then. The era is known from the first call of the table on.
+// from a copy. It returns true then. The era is known from the first answer of the table on.
 func (candidate *candidate) followEra() bool {
 	era := candidate.lease.options.era()
-	restored := candidate.era != 0 && era != candidate.era
-	candidate.era = era
+	restored := candidate.eraKnown && era != candidate.era
+	candidate.era, candidate.eraKnown = era, candidate.answered
 	if !restored {
 		return false
 	}
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -34,6 +34,7 @@
 	Key     string // key of the epoch row
 	Version uint64 // version of the epoch row
 	First   bool   // there was no holder before
+	Era     uint64 // of the table at the takeover
 }
 
 // Condition returns the condition to include in every transaction that acts
--- a/internal/coordination/lease/restore_test.go
+++ b/internal/coordination/lease/restore_test.go
@@ -231,3 +231,25 @@
 		})
 	}
 }
+
+// The first era of the table is 0. Guards against a restore that is taken for the first answer,
+// after which the holder renews its lease and never acts again.
+func TestRestoreOfFirstEraZeroIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		restored := newRestoredTable()
+		restored.era = 0
+		connection := &connection{table: restored}
+		process := start(connection, "p", 1, lease.WithEra(connection.Era))
+		defer process.shutDown()
+		time.Sleep(leaseDuration)
+		first, ok := process.lease.Held()
+		if !ok {
+			t.Fatal("lease.Held() = false before the restore, want true")
+		}
+		restored.restore(t, len(restored.commits))
+		time.Sleep(4 * leaseDuration)
+		if grant, ok := process.lease.Held(); !ok || grant.Epoch <= first.Epoch || grant.Era != 1 {
+			t.Errorf("lease.Held() = %+v, %t after the restore, want an epoch above %d in era 1", grant, ok, first.Epoch)
+		}
+	})
+}
--- a/internal/coordination/lease/watch.go
+++ b/internal/coordination/lease/watch.go
@@ -181,7 +181,7 @@
 		return
 	}
 	lease := candidate.lease
-	ownership.grant = Grant{Epoch: ownership.epoch, Key: row.Key, Version: row.Version, First: ownership.first}
+	ownership.grant = Grant{Epoch: ownership.epoch, Key: row.Key, Version: row.Version, First: ownership.first, Era: ownership.era}
 	candidate.ownership = ownership
 	lease.lastRenewal.Store(&renewal{grant: ownership.grant, era: ownership.era, sentAt: ownership.sentAt})
 	lease.options.metrics.takeovers.Inc()
@@ -199,5 +199,7 @@
 func (candidate *candidate) readRow(ctx context.Context, key string) (table.Row, error) {
 	ctx, cancel := candidate.withCallTimeout(ctx)
 	defer cancel()
-	return candidate.lease.store.Get(ctx, key)
+	row, err := candidate.lease.store.Get(ctx, key)
+	candidate.answered = candidate.answered || err == nil || code.Is(err, code.RowMissing)
+	return row, err
 }
