--- a/internal/coordination/tally/report.go
+++ b/internal/coordination/tally/report.go
@@ -49,7 +49,8 @@
 
 // Reporter reports the windows that have ended. It writes the counts of a window
 // to a row of the store under the lease before it sends them, so that a successor
-// sends the same counts.
+// sends the same counts. A restore of the store from a copy may take the row back, so
+// that windows of before it are left out.
 type Reporter struct {
 	meter          *Meter
 	store          Store
@@ -59,17 +60,34 @@
 	maxReportDelay time.Duration
 	logger         zerolog.Logger
 
-	nextWindow int64                      // first window that is not reported yet
-	unsent     map[int64]map[string]int64 // counts, by window, that are stored and not sent yet
+	eraSeen func() (era uint64, seenAt time.Time)
+
+	nextWindow  int64                      // first window that is not reported yet
+	unsent      map[int64]map[string]int64 // counts, by window, that are stored and not sent yet
+	firstWindow *eraRow                    // nil if it has to be read
+}
+
+// ReporterOption configures a Reporter.
+type ReporterOption func(*Reporter)
+
+// WithEra sets the function that returns the number of the store's history, which rises
+// when the store is restored from a copy, and a time that it had begun by. Without this
+// option the store is never restored.
+func WithEra(seen func() (era uint64, seenAt time.Time)) ReporterOption {
+	return func(reporter *Reporter) { reporter.eraSeen = seen }
 }
 
 // NewReporter returns a reporter for an instance. MaxReportDelay is how long after
 // the end of a window its report is still of use.
-func NewReporter(meter *Meter, store Store, sender Sender, collector Collector, instance string, maxReportDelay time.Duration, logger zerolog.Logger) *Reporter {
-	return &Reporter{
+func NewReporter(meter *Meter, store Store, sender Sender, collector Collector, instance string, maxReportDelay time.Duration, logger zerolog.Logger, opts ...ReporterOption) *Reporter {
+	reporter := &Reporter{
 		meter: meter, store: store, sender: sender, collector: collector, instance: instance, maxReportDelay: maxReportDelay,
 		logger: logger.With().Str("part", "usage").Logger(), unsent: map[int64]map[string]int64{},
 	}
+	for _, opt := range opts {
+		opt(reporter)
+	}
+	return reporter
 }
 
 // ReportEndedWindows reports the windows that have ended at now, in true time.
@@ -80,7 +98,11 @@
 func (reporter *Reporter) ReportEndedWindows(ctx context.Context, now time.Time, currentGrant func() (lease.Grant, bool)) {
 	lastWindow := reporter.meter.WindowAt(now.Add(-settleTime)) - 1
 	firstWindow := reporter.meter.WindowAt(now.Add(-reporter.maxReportDelay - settleTime))
-	reporter.nextWindow = max(reporter.nextWindow, firstWindow)
+	firstOfEra, ok := reporter.firstWindowOfEra(ctx, now, currentGrant)
+	if !ok {
+		return
+	}
+	reporter.nextWindow = max(reporter.nextWindow, firstWindow, firstOfEra)
 	for ; reporter.nextWindow <= lastWindow; reporter.nextWindow++ {
 		if !reporter.isSettled(reporter.nextWindow, now) || !reporter.report(ctx, reporter.nextWindow, currentGrant) {
 			return
@@ -101,7 +123,7 @@
 // Reset clears the record of reported windows. It is called when the lease has
 // been acquired: another holder may have reported windows since.
 func (reporter *Reporter) Reset() {
-	reporter.nextWindow = 0
+	reporter.nextWindow, reporter.firstWindow = 0, nil
 	clear(reporter.unsent)
 }
 
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -44,6 +44,8 @@
 	// Era returns the number of the store's history. It rises when the store is
 	// restored from a copy, which takes back what was written since.
 	Era() uint64
+	// EraSeen returns the era, and when a response first named it.
+	EraSeen() (uint64, time.Time)
 	Get(ctx context.Context, key string) (table.Row, error)
 	Commit(ctx context.Context, writes ...table.Write) error
 	Put(ctx context.Context, key string, value []byte) error
@@ -215,7 +217,7 @@
 	node.duties = duty.New(duty.Config{
 		Instance: node.settings.Instance, Lease: node.lease, Platform: node.control,
 		Reporter: tally.NewReporter(node.meter, node.store, node.control, node, node.settings.Instance,
-			node.settings.Bounds.UsageReportDeadline, node.logger),
+			node.settings.Bounds.UsageReportDeadline, node.logger, tally.WithEra(store.EraSeen)),
 		Snapshot: node.snapshot, Duties: node.settings.Duties, AlternationPeriod: node.settings.Bounds.LeaseDuration, Logger: node.logger,
 	})
 	return node
--- a/internal/transport/node/restore_test.go
+++ b/internal/transport/node/restore_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/go-json-experiment/json"
 )
 
 // The store comes back from a copy and counts its versions from there. Guards against a
@@ -71,3 +74,57 @@
 	}
 	eventually(t, "the instance has registered again", func() bool { return store.contains("member/a", "address") })
 }
+
+// A usage window is reported, the store comes back from a copy that lacks its row, and an
+// instance that has just started takes the lease over. Guards against a second report of the
+// window with other counts (ONE).
+func TestUsageWindowIsNotReportedAgainAfterRestoreOfStore(t *testing.T) {
+	store := newFakeStore()
+	store.put("op", "config", manifest(3, "/read/"))
+	startTarget(t, store)
+	var mutex sync.Mutex
+	counts := map[int64]string{} // by window
+	newest := int64(0)           // window with requests
+	control := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var report struct {
+			WindowSeq int64
+			Counts    map[string]int64
+		}
+		if err := json.UnmarshalRead(r.Body, &report); err != nil {
+			t.Errorf("report of usage: %v", err)
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		reported := fmt.Sprint(report.Counts)
+		if first, ok := counts[report.WindowSeq]; ok && first != reported {
+			t.Errorf("window %d is reported as %s, which was reported as %s", report.WindowSeq, reported, first)
+		}
+		counts[report.WindowSeq] = reported
+		if len(report.Counts) > 0 {
+			newest = max(newest, report.WindowSeq)
+		}
+	}))
+	t.Cleanup(control.Close)
+	ports, log := [2]int{freePort(t), freePort(t)}, &logBuffer{}
+	settings := nodeSettings(t, "a", "127.0.0.1", store.endpoint(t).address, control.Listener.Addr().String(), ports)
+	instance := startNodeWith(t, settings, log)
+	reportsAfter := func(window int64) bool {
+		_, _ = get(t, settings.ListenAddress, "/read/x")
+		mutex.Lock()
+		defer mutex.Unlock()
+		return newest > window
+	}
+	eventually(t, "the instance is ready", instance.Ready)
+	copied := store.copy()
+	eventually(t, "usage is reported", func() bool { return reportsAfter(0) })
+	instance.Stop()
+	store.restore(copied)
+	mutex.Lock()
+	last := newest
+	mutex.Unlock()
+	settings.Bootstrap = false
+	instance = startNodeWith(t, settings, log)
+	defer instance.Stop()
+	eventually(t, "the instance is ready again", instance.Ready)
+	eventually(t, "usage is reported after the restore", func() bool { return reportsAfter(last) })
+}
