--- a/internal/coordination/origin/origin.go
+++ b/internal/coordination/origin/origin.go
@@ -3,8 +3,9 @@
 // version that began it, at whichever instance its caller takes it up.
 //
 // Instances tell each other the streams that they begin and the versions that are or
-// were in service. A stream that no live instance knows may go on only if a single
-// version can have begun it.
+// were in service. While several versions are, two other instances keep each stream before
+// its caller gets the first event, and are asked when the caller takes it up. A stream that
+// no live instance knows may go on only if a single version can have begun it.
 package origin
 
 import (
@@ -61,12 +62,14 @@
 
 	readTargets func(ctx context.Context) ([]site.Target, bool) // nil if the list at hand is current
 
-	// The streams of the current and the previous generation. A generation lasts at
-	// least for the memory.
-	current, previous map[uint64]sighting
-	generationStart   time.Time
-	begun             []begunStream // by this instance, told in the next reports
-	changed           chan struct{} // closed when streams are added
+	self  string
+	peers Peers // nil if reports alone tell the streams
+
+	// Those that this instance began or keeps are apart from those that it has heard of,
+	// since reports tell all streams of the site.
+	kept, heard streams
+	begun       []begunStream // by this instance, told in the next reports
+	changed     chan struct{} // closed when streams are added
 }
 
 // sighting is a version of a service's targets.
@@ -84,9 +87,8 @@
 func New(opts ...Option) *Tracker {
 	now := time.Now()
 	tracker := &Tracker{
-		knownSince: now, generationStart: now,
-		sightings: map[sighting]time.Time{}, changed: make(chan struct{}),
-		current: map[uint64]sighting{}, previous: map[uint64]sighting{},
+		knownSince: now,
+		sightings:  map[sighting]time.Time{}, changed: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(tracker)
@@ -136,25 +138,46 @@
 	}
 }
 
-// Record records that a stream of a caller's attempt began or goes on at a version.
+// Record records that a stream of a caller's attempt began or goes on at a version. Its
+// caller may get events after the call.
 func (tracker *Tracker) Record(service, attempt, version string) {
+	hash, seen := streamHash(service, attempt), sighting{service, version}
+	if tracker.recordBegun(hash, seen) && tracker.peers != nil {
+		tracker.tellKeepers(hash, seen)
+	}
+}
+
+// recordBegun adds a stream of this instance. It returns true if another version than that
+// of the stream may be in service.
+func (tracker *Tracker) recordBegun(hash uint64, seen sighting) (ambiguous bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	hash, seen := streamHash(service, attempt), sighting{service, version}
-	tracker.add(hash, seen)
+	tracker.add(&tracker.kept, hash, seen)
 	tracker.begun = append(tracker.begun, begunStream{seen, hash, tracker.round})
+	return tracker.isAmbiguous(seen)
+}
+
+// isAmbiguous reports whether another version of a service may have begun a stream that can
+// still be taken up, as far as is known without a look at the list of targets.
+func (tracker *Tracker) isAmbiguous(seen sighting) bool {
+	now := time.Now()
+	if now.Sub(tracker.knownSince) < tracker.memory {
+		return true
+	}
+	for other, at := range tracker.sightings {
+		if other.service == seen.service && other.version != seen.version && now.Sub(at) <= tracker.memory {
+			return true
+		}
+	}
+	return false
 }
 
 func streamHash(service, attempt string) uint64 {
 	return xxhash.Sum64String(service + "\x00" + attempt)
 }
 
-func (tracker *Tracker) add(hash uint64, seen sighting) {
-	now := time.Now()
-	if now.Sub(tracker.generationStart) > max(tracker.memory, minGeneration) || len(tracker.current) >= maxStreams {
-		tracker.previous, tracker.current, tracker.generationStart = tracker.current, map[uint64]sighting{}, now
-	}
-	tracker.current[hash] = seen
+func (tracker *Tracker) add(streams *streams, hash uint64, seen sighting) {
+	streams.add(hash, seen, max(tracker.memory, minGeneration))
 	close(tracker.changed)
 	tracker.changed = make(chan struct{})
 }
@@ -164,21 +187,18 @@
 func (tracker *Tracker) Lookup(service, attempt string) (string, bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if version, ok := tracker.recall(service, attempt); ok {
-		return version, true
+	if seen, ok := tracker.recall(streamHash(service, attempt)); ok {
+		return seen.version, true
 	}
 	return tracker.single(service)
 }
 
-// recall returns the version of a stream that this instance began or was told.
-func (tracker *Tracker) recall(service, attempt string) (string, bool) {
-	hash := streamHash(service, attempt)
-	for _, streams := range []map[uint64]sighting{tracker.current, tracker.previous} {
-		if known, ok := streams[hash]; ok {
-			return known.version, true
-		}
+// recall returns the origin of a stream that this instance began or was told.
+func (tracker *Tracker) recall(hash uint64) (sighting, bool) {
+	if seen, ok := tracker.kept.find(hash); ok {
+		return seen, true
 	}
-	return "", false
+	return tracker.heard.find(hash)
 }
 
 // single returns the version of a service if no other one can have begun its streams.
@@ -198,31 +218,41 @@
 	}
 }
 
-// Await is Lookup, but waits for other instances to tell the stream until wait has passed or
-// ctx ends. If none has told it yet, the list of targets is read anew: this instance may have
-// been cut off or paused while targets of another version joined and began the stream.
+// Await is Lookup, but asks other instances for the stream, and waits for them until wait has
+// passed or ctx ends. If none has told it yet, the list of targets is read anew: this instance
+// may have been cut off or paused while targets of another version joined and began the stream.
 func (tracker *Tracker) Await(ctx context.Context, service, attempt string, wait time.Duration) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	hash := streamHash(service, attempt)
 	var current <-chan bool
+	var askedAt time.Time
 	isCurrent := tracker.readTargets == nil
+	askAgain := time.NewTicker(askInterval)
+	defer askAgain.Stop()
 	for {
 		tracker.mutex.Lock()
-		version, ok := tracker.recall(service, attempt)
-		if !ok && isCurrent {
-			version, ok = tracker.single(service)
-		}
+		seen, ok := tracker.recall(hash)
+		version, isSingle := tracker.single(service)
 		changed := tracker.changed
 		tracker.mutex.Unlock()
-		if ok {
+		switch {
+		case ok:
+			return seen.version, true
+		case isSingle && isCurrent:
 			return version, true
 		}
 		if !isCurrent && current == nil {
 			current = tracker.refresh(ctx)
 		}
+		if !isSingle && time.Since(askedAt) >= askInterval {
+			tracker.askKeepers(hash)
+			askedAt = time.Now()
+		}
 		select {
 		case <-changed:
 		case isCurrent = <-current:
+		case <-askAgain.C:
 		case <-ctx.Done():
 			return "", false
 		}
--- a/internal/coordination/origin/report.go
+++ b/internal/coordination/origin/report.go
@@ -46,15 +46,10 @@
 func (tracker *Tracker) FullReport() Report {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	streams := map[uint64]sighting{}
-	for _, generation := range []map[uint64]sighting{tracker.current, tracker.previous} {
-		for hash, seen := range generation {
-			if len(streams) < maxTold {
-				streams[hash] = seen
-			}
-		}
-	}
-	return tracker.report(streams)
+	told := map[uint64]sighting{}
+	tracker.kept.copyTo(told, maxTold)
+	tracker.heard.copyTo(told, maxTold)
+	return tracker.report(told)
 }
 
 func (tracker *Tracker) report(streams map[uint64]sighting) Report {
@@ -116,8 +111,8 @@
 	}
 	for _, group := range report.Streams {
 		for _, hash := range group.Hashes {
-			if _, ok := tracker.current[hash]; !ok {
-				tracker.add(hash, sighting{group.Service, group.Version})
+			if _, ok := tracker.heard.current[hash]; !ok {
+				tracker.add(&tracker.heard, hash, sighting{group.Service, group.Version})
 			}
 		}
 	}
--- a/internal/transport/node/builds.go
+++ b/internal/transport/node/builds.go
@@ -15,11 +15,12 @@
 	abilityParts    = "prompt-parts"      // counts crashes against parts of prompts and refuses those in quarantine
 	abilityLimits   = "limits"            // keeps to its share of the limits that targets name
 	abilityVersions = "software-versions" // has streams go on at the software version that began them
+	abilityKeeps    = "stream-origins"    // keeps the software versions of streams that begin at other instances
 )
 
 // Abilities returns the abilities of this build, sorted.
 func Abilities() []string {
-	return []string{abilityLimits, abilityParts, abilityVersions, abilitySuspects}
+	return []string{abilityLimits, abilityParts, abilityVersions, abilityKeeps, abilitySuspects}
 }
 
 // Option configures a Node.
@@ -84,6 +85,13 @@
 	builds.count()
 }
 
+// isAble reports whether an instance has told that it has an ability.
+func (builds *memberBuilds) isAble(instance, ability string) bool {
+	builds.mutex.Lock()
+	defer builds.mutex.Unlock()
+	return slices.Contains(builds.members[instance].abilities, ability)
+}
+
 func (builds *memberBuilds) count() {
 	for _, ability := range Abilities() {
 		able := 0
--- a/internal/transport/node/heartbeat.go
+++ b/internal/transport/node/heartbeat.go
@@ -58,6 +58,10 @@
 	UsageAnswer *usageAnswer `cbor:"10,keyasint,omitempty"`
 	// AllOrigins holds all origins of streams, for an instance that has just started.
 	AllOrigins *origin.Report `cbor:"21,keyasint,omitempty"`
+	// KeptOrigins holds origins of streams for the recipient to keep, or for which it asked.
+	KeptOrigins []origin.Streams `cbor:"22,keyasint,omitempty"`
+	// OriginQuery asks for the origins of streams, by hash.
+	OriginQuery []uint64 `cbor:"23,keyasint,omitempty"`
 }
 
 func (node *Node) instanceRun() tally.InstanceRun {
@@ -85,6 +89,7 @@
 	if rounds == 1 { // the last heartbeat of this round
 		node.scheduler.EndReportRound()
 		node.origins.EndRound()
+		node.updateKeepers()
 	}
 	changing := node.duties.PendingStageChanges()
 	if rounds == 1 && node.announcements.next(changing) {
@@ -136,6 +141,14 @@
 		node.origins.Merge(*message.AllOrigins)
 		return
 	}
+	if message.KeptOrigins != nil {
+		node.origins.Keep(message.KeptOrigins...)
+		return
+	}
+	if message.OriginQuery != nil {
+		node.answerOriginQuery(message.OriginQuery, from)
+		return
+	}
 	node.mesh.Add(mesh.Member{Instance: message.Instance, DataCenter: message.DataCenter, Address: from})
 	node.mesh.RecordHeartbeat(message.Instance)
 	node.detours.update(message.Instance, peerReach{
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -136,6 +136,7 @@
 	storeContacts   storeContacts
 	crashes         *crash.Tracker
 	origins         *origin.Tracker
+	keepers         atomic.Pointer[keepers]
 	memberBoots     memberBoots
 	detours         *detours
 	detourServer    *detour.Server
@@ -192,7 +193,7 @@
 		mesh.Callbacks{Compose: node.composeHeartbeat, Receive: node.receiveHeartbeat, MemberDown: node.forgetMember}, logger)
 	node.reach = reach.New(reach.WithLogger(logger))
 	node.crashes = crash.New(crash.WithLogger(logger), crash.WithInstances(settings.Instance, node.mesh.LiveNames))
-	originOptions := []origin.Option{origin.WithCurrentTargets(node.currentTargets)}
+	originOptions := []origin.Option{origin.WithCurrentTargets(node.currentTargets), origin.WithPeers(settings.Instance, originPeers{node})}
 	if settings.Bootstrap {
 		originOptions = append(originOptions, origin.WithFirstStart())
 	}
--- a/internal/transport/node/node_test.go
+++ b/internal/transport/node/node_test.go
@@ -203,7 +203,7 @@
 	if interrupted := first.Stop() + second.Stop(); interrupted != 0 {
 		t.Errorf("first.Stop() + second.Stop() = %d interrupted requests, want 0", interrupted)
 	}
-	if !log.contains(`"build":"test-build","abilities":["limits","prompt-parts","software-versions","suspects"]`) {
+	if !log.contains(`"build":"test-build","abilities":["limits","prompt-parts","software-versions","stream-origins","suspects"]`) {
 		t.Error("log has no message about the build of the other instance")
 	}
 	if !log.contains("target row cannot be decoded; target not used") {
