Large answers of faulty targets leave memory for the small ones of sound targets (LOST)

What callers saw: while some targets send bodies without end, requests to other, sound targets end with 502 (2001), though these targets had run them and answered in a millisecond.

Cause: all buffered answers share one bound of memory, and whoever came first took it: two bodies of up to 16 MiB take the 30 MiB of a machine of 184 MB. An answer of some bytes then counted as truncated, and its target as broken.

TestLargeResponsesLeaveMemoryForSmallOnes failed before: an answer of three events was cut after two beside two large ones.

Why this works: an answer may take more only while twice of what then stays free is at least what it holds. One answer of 16 MiB still fits on the smallest machine; n answers without end leave one part in 2n + 1 to the others (316 KB beside 48 of them), whatever their number, and fail sooner.

--- a/internal/transport/proxy/endless_test.go
+++ b/internal/transport/proxy/endless_test.go
@@ -4,7 +4,9 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"mangopier.example/mangopier/internal/protocol/site"
 	"mangopier.example/mangopier/internal/transport/proxy"
@@ -110,3 +112,33 @@
 		}
 	}
 }
+
+// Faulty targets send large answers that do not end, so that these hold all memory for
+// responses. Guards against failing the small answers of sound targets to other callers (LOST).
+func TestLargeResponsesLeaveMemoryForSmallOnes(t *testing.T) {
+	harness := newHarness(t, proxy.WithResponseMemory(responseMemory))
+	sent, end := make(chan struct{}, 2), make(chan struct{})
+	for _, id := range []string{"f1", "f2"} {
+		harness.startTarget(id, "desk", site.NoStage, func(w http.ResponseWriter, r *http.Request) {
+			setResponseHeaders(w, r)
+			_, _ = io.WriteString(w, strings.Repeat("x", responseMemory*2/5))
+			w.(http.Flusher).Flush()
+			sent <- struct{}{}
+			<-end
+		})
+	}
+	harness.startTarget("p1", "llm", site.Prefill, respondPrefilled)
+	harness.startTarget("d1", "llm", site.Decode, func(w http.ResponseWriter, r *http.Request) { sendEvents(w, r, 3) })
+	var large sync.WaitGroup
+	for range 2 {
+		large.Go(func() { harness.do(harness.newRequest(http.MethodPost, "/book/x")) })
+	}
+	<-sent
+	<-sent
+	time.Sleep(200 * time.Millisecond) // until the proxy has read what was sent
+	if response := harness.do(harness.newRequest(http.MethodPost, "/ask/x")); response.status != http.StatusOK || response.err != nil {
+		t.Errorf("response beside large ones = %+v, want 200", response)
+	}
+	close(end)
+	large.Wait()
+}
--- a/internal/transport/proxy/memory.go
+++ b/internal/transport/proxy/memory.go
@@ -23,6 +23,9 @@
 	maxPendingBytes = maxEventBytes + streamBufferBytes
 	// minReadBytes is the memory taken before more of a body is read.
 	minReadBytes = 4 << 10
+	// freeMemoryFactor is how many times the memory that stays free one response may take.
+	// Many large responses thus leave some to small ones.
+	freeMemoryFactor = 2
 )
 
 // WithResponseMemory bounds the bytes of targets' responses that are buffered for all
@@ -42,9 +45,11 @@
 	used  atomic.Int64
 }
 
-// reserve takes a number of bytes, or returns false if they exceed the limit.
-func (memory *responseMemory) reserve(bytes int) bool {
-	if memory.used.Add(int64(bytes)) > memory.limit {
+// reserve takes a number of bytes for a response that holds some already. It returns false
+// if the response would hold too many for what stays free.
+func (memory *responseMemory) reserve(held, bytes int) bool {
+	used := memory.used.Add(int64(bytes))
+	if int64(held+bytes) > freeMemoryFactor*(memory.limit-used) {
 		memory.used.Add(-int64(bytes))
 		return false
 	}
@@ -65,7 +70,7 @@
 	for {
 		if len(body) == cap(body) {
 			grown := min(max(minReadBytes, cap(body)), limit+1-len(body))
-			if !exchange.reserveMemory(grown) {
+			if !exchange.reserveMemory(cap(body), grown) {
 				return nil, code.Wrap(errResponseMemory, code.AnswerTruncated, "answer")
 			}
 			body = slices.Grow(body, grown)[: len(body) : len(body)+grown]
@@ -83,9 +88,10 @@
 	}
 }
 
-// reserveMemory takes response memory for as long as the request lasts.
-func (exchange *exchange) reserveMemory(bytes int) bool {
-	if !exchange.proxy.memory.reserve(bytes) {
+// reserveMemory takes response memory for as long as the request lasts, for a response that
+// holds some already.
+func (exchange *exchange) reserveMemory(held, bytes int) bool {
+	if !exchange.proxy.memory.reserve(held, bytes) {
 		return false
 	}
 	exchange.reservedBytes.Add(int64(bytes))
@@ -104,7 +110,7 @@
 	switch {
 	case change < 0:
 		run.memory.release(-change)
-	case !run.memory.reserve(change):
+	case !run.memory.reserve(run.reserved, change):
 		return false
 	}
 	run.reserved += change
