--- a/internal/transport/detour/client.go
+++ b/internal/transport/detour/client.go
@@ -73,6 +73,8 @@
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	for _, opt := range opts {
 		opt(transport)
@@ -117,7 +119,7 @@
 func (client *Client) call(ctx context.Context, address string, request *wireRequest) (*connect.ServerStreamForClient[wireResponse], *wireResponse, error) {
 	call := connect.NewClient[wireRequest, wireResponse](
 		sender{transport: client.transport}, "http://"+address+procedure,
-		connect.WithCodec(codec.CBOR{}), connect.WithAcceptCompression("gzip", nil, nil),
+		connect.WithCodec(codec.CBOR{}), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxResponseBytes),
 	)
 	stream, err := call.CallServerStream(ctx, connect.NewRequest(request))
 	if err != nil {
--- a/internal/transport/detour/detour.go
+++ b/internal/transport/detour/detour.go
@@ -16,6 +16,16 @@
 // procedure is the Connect path of the only call.
 const procedure = "/mangopier.detour.v1.Detour/Serve"
 
+// Bounds of what one side keeps of what the other sends.
+const (
+	maxHeaderBytes   = 64 << 10 // head of the HTTP response
+	maxRequestBytes  = 8 << 20  // a caller's body has 4 MiB at most
+	maxResponseBytes = 20 << 20 // one message; earlier builds send a body of up to 16 MiB in one
+	// maxPartBytes is the most of a body that one message holds. A part is not in the bound of
+	// the memory for responses until it is read.
+	maxPartBytes = 256 << 10
+)
+
 // HeaderSoftware is the name of the response header with which a ServeFunc tells the
 // version of the software of the target that responded. It is not sent as a header.
 const HeaderSoftware = "Mangopier-Software"
--- a/internal/transport/detour/server.go
+++ b/internal/transport/detour/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 
 	"connectrpc.com/connect"
@@ -67,7 +68,7 @@
 // Handler returns the path of the Serve call and its handler.
 func (server *Server) Handler() (string, http.Handler) {
 	withCodec := connect.WithCodec(codec.CBOR{})
-	handler := connect.NewServerStreamHandler(procedure, server.run, withCodec)
+	handler := connect.NewServerStreamHandler(procedure, server.run, withCodec, connect.WithReadMaxBytes(maxRequestBytes))
 	errorWriter := connect.NewErrorWriter(withCodec)
 	return procedure, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		if !server.isAllowed(request.RemoteAddr) {
@@ -135,12 +136,12 @@
 	responseWriter.send(response)
 }
 
-// Write sends a part of the body, after the header with status 200 if there was
-// none yet.
+// Write sends a part of the body, in messages of maxPartBytes at most, after the header
+// with status 200 if there was none yet.
 func (responseWriter *responseWriter) Write(part []byte) (int, error) {
 	responseWriter.WriteHeader(http.StatusOK)
-	if len(part) > 0 {
-		responseWriter.send(&wireResponse{Body: part})
+	for message := range slices.Chunk(part, maxPartBytes) {
+		responseWriter.send(&wireResponse{Body: message})
 	}
 	if responseWriter.err != nil {
 		return 0, responseWriter.err
--- a/internal/transport/mirror/mirror.go
+++ b/internal/transport/mirror/mirror.go
@@ -25,6 +25,12 @@
 // procedure is the Connect path of the only call.
 const procedure = "/mangopier.mirror.v1.Mirror/Watch"
 
+// Bounds of what one side keeps of what the other sends.
+const (
+	maxRequestBytes = 64 << 10
+	maxTableBytes   = 64 << 20 // 12,000 targets take some 5 MB
+)
+
 // WatchRequest asks for all rows of a table, or for the changes after a version.
 type WatchRequest struct {
 	Table  string `cbor:"1,keyasint"`
@@ -134,7 +140,7 @@
 
 // Handler returns the path of the Watch call and its handler.
 func (mirror *Mirror) Handler() (string, http.Handler) {
-	return procedure, connect.NewUnaryHandler(procedure, mirror.watch, connect.WithCodec(codec.CBOR{}))
+	return procedure, connect.NewUnaryHandler(procedure, mirror.watch, connect.WithCodec(codec.CBOR{}), connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 func (mirror *Mirror) watch(ctx context.Context, request *connect.Request[WatchRequest]) (*connect.Response[WatchResponse], error) {
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -66,8 +66,10 @@
 	const (
 		idleTimeout = 10 * time.Second
 		userTimeout = 2 * time.Second // watches are repeated elsewhere
+		// maxHeaderBytes bounds the head of an answer.
+		maxHeaderBytes = 64 << 10
 	)
-	transport := &http.Transport{DialContext: dial.New(dial.WithUserTimeout(userTimeout)).DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	transport := &http.Transport{DialContext: dial.New(dial.WithUserTimeout(userTimeout)).DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	for _, opt := range opts {
 		opt(transport)
 	}
@@ -80,7 +82,7 @@
 func (client *Client) watch(ctx context.Context, address string, message *WatchRequest) (*WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(message.WaitMS)*time.Millisecond+watchTimeoutSlack)
 	defer cancel()
-	call := connect.NewClient[WatchRequest, WatchResponse](client.http, "http://"+address+procedure, connect.WithCodec(codec.CBOR{}))
+	call := connect.NewClient[WatchRequest, WatchResponse](client.http, "http://"+address+procedure, connect.WithCodec(codec.CBOR{}), connect.WithReadMaxBytes(maxTableBytes))
 	response, err := call.CallUnary(ctx, connect.NewRequest(message))
 	if err != nil {
 		return nil, code.Wrap(err, code.PeerUnreachable, "mirror "+address)
