--- a/internal/transport/node/version_test.go
+++ b/internal/transport/node/version_test.go
@@ -239,3 +239,30 @@
 		t.Error("a stream of another version went on at an instance that did not know it")
 	}
 }
+
+// All instances are killed, and the store comes back from a copy of before another version
+// joined, so that neither its list of targets nor the row of versions has that version. Guards
+// against streams that it began going on at the earlier version (ORDER).
+func TestStreamsAreNotJoinedAfterRestartAndRestoreOfStore(t *testing.T) {
+	versions := newVersionSite(t)
+	for _, id := range []string{"d1-v2", "d2-v2"} {
+		versions.store.remove("servers", id)
+	}
+	eventually(t, "one version is left", func() bool {
+		return !versions.store.contains("stream-versions", "v2") && versions.store.contains("stream-versions", "v1")
+	})
+	copied := versions.store.copy()
+	versions.mutex.Lock()
+	versions.began["begun-before"] = "v2" // by engines that join after the copy, and whose rows are late
+	versions.mutex.Unlock()
+	for _, node := range versions.nodes {
+		node.Stop()
+	}
+	versions.store.restore(copied)
+	versions.restart(0, 1)
+	for i := range versions.nodes {
+		if wentOn := versions.takeUp(i, []string{"begun-before"}); wentOn > 0 {
+			t.Errorf("a stream of before the restore went on at instance %d, want none", i)
+		}
+	}
+}
--- a/internal/transport/node/versions.go
+++ b/internal/transport/node/versions.go
@@ -125,7 +125,8 @@
 
 // versionsRow is the value of the row.
 type versionsRow struct {
-	Versions map[string][]string `json:"versions"` // by service
+	Versions map[string][]string `json:"versions"`      // by service
+	Era      uint64              `json:"era,omitempty"` // of the store when the row was written, 0 in rows of earlier builds
 }
 
 // keepVersions reads the versions that were in service before the start and then keeps
@@ -147,7 +148,7 @@
 				continue
 			}
 			current := node.store.Era()
-			if node.writeVersions(ctx, versions) {
+			if node.writeVersions(ctx, versions, current) {
 				written, era = versions, current
 			}
 		}
@@ -162,8 +163,8 @@
 		lease.IsStandby(versionsKey, node.settings.Instance, node.mesh.LiveNames(), versionsWriters)
 }
 
-// readVersions returns false if the store cannot be read. Without a row, the versions
-// of before are not known.
+// readVersions returns false if the store cannot be read. Without a row of the store's era,
+// the versions of before are not known: a restore may have taken back those that joined.
 func (node *Node) readVersions(ctx context.Context) bool {
 	row, err := node.store.Get(ctx, versionsKey)
 	if code.Is(err, code.RowMissing) {
@@ -177,13 +178,19 @@
 		node.logger.Warn().Str("part", "node").Err(err).Str("row", versionsKey).Msg("malformed row ignored")
 		return true
 	}
+	// Rows of earlier builds name no era and are believed.
+	if era := node.store.Era(); versions.Era != 0 && versions.Era != era {
+		node.logger.Warn().Str("part", "node").Any("versions", versions.Versions).Uint64("row-era", versions.Era).Uint64("era", era).
+			Msg("software versions of before the start may be incomplete: the store was restored from a copy since")
+		return true
+	}
 	node.origins.Restore(versions.Versions)
 	node.logger.Info().Str("part", "node").Any("versions", versions.Versions).Msg("software versions of before the start")
 	return true
 }
 
-func (node *Node) writeVersions(ctx context.Context, versions map[string][]string) bool {
-	value, err := json.Marshal(versionsRow{versions}, json.Deterministic(true))
+func (node *Node) writeVersions(ctx context.Context, versions map[string][]string, era uint64) bool {
+	value, err := json.Marshal(versionsRow{versions, era}, json.Deterministic(true))
 	if err == nil {
 		err = node.store.Put(ctx, versionsKey, value)
 	}
