--- a/internal/protocol/site/site.go
+++ b/internal/protocol/site/site.go
@@ -333,8 +333,9 @@
 // EngineStatus is the state that an engine returns when polled.
 type EngineStatus struct {
 	Stage           Stage
-	OrderInProgress bool  // an order is being carried out
-	OrdersAccepted  int64 // orders accepted since the engine started
+	OrderInProgress bool      // an order is being carried out
+	OrdersAccepted  int64     // orders accepted since the engine started
+	Started         time.Time // zero if the engine does not report it
 }
 
 // StageOrder is an order to an engine to change its stage.
--- a/internal/transport/node/node.go
+++ b/internal/transport/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 
+	"mangopier.example/mangopier/internal/coordination/boots"
 	"mangopier.example/mangopier/internal/coordination/crash"
 	"mangopier.example/mangopier/internal/coordination/duty"
 	"mangopier.example/mangopier/internal/coordination/follow"
@@ -137,6 +138,7 @@
 	crashes         *crash.Tracker
 	origins         *origin.Tracker
 	keepers         atomic.Pointer[keepers]
+	boots           *boots.Checker
 	memberBoots     memberBoots
 	detours         *detours
 	detourServer    *detour.Server
@@ -198,12 +200,13 @@
 		originOptions = append(originOptions, origin.WithFirstStart())
 	}
 	node.origins = origin.New(originOptions...)
+	node.boots = boots.New(node.fetchStart)
 	local, _ := netip.ParseAddr(settings.IP) // Start rejects one that is not valid
 	node.detours = newDetours(node.mesh, local)
 	node.proxy = proxy.New(codec, node.client, node.scheduler, node.health, node,
 		proxy.WithLogger(logger), proxy.WithRegisterer(node.registry), proxy.WithBounds(settings.Bounds),
 		proxy.WithInstanceCount(node.retryInstanceCount), proxy.WithPeers(node.detours, node.reach),
-		proxy.WithCrashTracker(node.crashes), proxy.WithOrigins(node.origins), proxy.WithManifestAge(node.manifestAge), proxy.WithResponseMemory(settings.MemoryBytes/bodyMemoryDivisor))
+		proxy.WithCrashTracker(node.crashes), proxy.WithOrigins(node.origins), proxy.WithBoots(node.boots), proxy.WithManifestAge(node.manifestAge), proxy.WithResponseMemory(settings.MemoryBytes/bodyMemoryDivisor))
 	node.detourServer = node.newDetourServer()
 	node.roster = roster.New(codec.DecodeTarget, node.setTargets, logger)
 	node.mirror = mirror.New()
@@ -333,9 +336,16 @@
 	node.reach.SetTargets(targets)
 	node.crashes.SetTargets(targets)
 	node.origins.SetTargets(targets)
+	node.boots.SetTargets(targets)
 	node.updateTargets()
 }
 
+// fetchStart asks a target when it was started.
+func (node *Node) fetchStart(ctx context.Context, target site.Target) (time.Time, error) {
+	status, err := node.control.FetchEngineStatus(ctx, target)
+	return status.Started, err
+}
+
 // updateTargets applies the manifest and the list of targets. Both change on
 // goroutines of their own.
 func (node *Node) updateTargets() {
--- a/internal/transport/node/soak_target_test.go
+++ b/internal/transport/node/soak_target_test.go
@@ -172,6 +172,7 @@
 	targets            *soakTargets
 	id, service, stage string
 	server             *httptest.Server
+	born               int64 // Unix time of the start in milliseconds
 	crashed            atomic.Bool
 }
 
@@ -184,7 +185,7 @@
 	}
 	targets.mutex.Lock()
 	targets.targets++
-	target := &soakTarget{targets: targets, id: fmt.Sprint("i-", targets.targets), service: service, stage: stage}
+	target := &soakTarget{targets: targets, id: fmt.Sprint("i-", targets.targets), service: service, stage: stage, born: time.Now().UnixMilli()}
 	targets.newest[service] = target.id
 	targets.mutex.Unlock()
 	target.server = httptest.NewUnstartedServer(target)
@@ -196,7 +197,7 @@
 		target.server.Close()
 	})
 	targets.store.put("servers", target.id, fmt.Sprintf(
-		`{"Service":%q,"Address":%q,"Zone":"tas-a","Slots":6,"State":"ready","Stage":%q,"born":%d}`, service, listener.Addr(), stage, time.Now().UnixMilli()))
+		`{"Service":%q,"Address":%q,"Zone":"tas-a","Slots":6,"State":"ready","Stage":%q,"born":%d}`, service, listener.Addr(), stage, target.born))
 }
 
 // crash ends the target. Another one starts at its address a little later.
@@ -239,7 +240,11 @@
 // ServeHTTP runs a request. While there is a fault, it affects one request in three.
 func (target *soakTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
-	if r.Method == http.MethodDelete || r.URL.Path == "/v1/order" || r.URL.Path == "/v1/report" {
+	if r.URL.Path == "/v1/report" {
+		_, _ = fmt.Fprintf(w, `{"Stage":%q,"Busy":false,"Sequence":0,"born":%d}`, target.stage, target.born)
+		return
+	}
+	if r.Method == http.MethodDelete || r.URL.Path == "/v1/order" {
 		return
 	}
 	arrival := soakArrival{
--- a/internal/transport/proxy/decode.go
+++ b/internal/transport/proxy/decode.go
@@ -89,9 +89,14 @@
 	if run.peer != "" {
 		forwarded = exchange.newForwarded(lastEventID)
 	}
+	goesOn := exchange.origin.begun
 	go func() {
 		defer close(run.results)
 		result := runResult{}
+		if run.peer == "" && goesOn && !exchange.proxy.boots.Check(run.ctx, run.assignment.Target) {
+			run.results <- runResult{err: errRestarted}
+			return
+		}
 		if run.peer != "" {
 			result.response, result.info, result.err = exchange.forward(run.ctx, run.peer, forwarded)
 		} else {
@@ -107,6 +112,10 @@
 	}()
 }
 
+// errRestarted is the error of a run that was not sent, since its engine may have another
+// software version than its entry tells.
+var errRestarted = errors.New("engine was started again, or does not tell when it was started")
+
 // begins numbers the runs of a generation by their first bytes. A number is given and
 // stored at once: a run with a later one then sees all earlier ones.
 type begins struct {
@@ -271,6 +280,12 @@
 // the caller.
 func (generation *generation) accept(run *decodeRun, result runResult) callOutcome {
 	exchange, target := generation.exchange, run.destination()
+	if errors.Is(result.err, errRestarted) {
+		run.refused, run.result = true, crash.Inconclusive
+		exchange.releaseHandle(run.handle)
+		exchange.recordFailedCall(target, run.stage(), "restarted", result.err, run.started)
+		return outcomeNotRun
+	}
 	if result.response == nil {
 		outcome := generation.classifyNoStream(run, result.err)
 		if outcome != outcomeUnsent {
--- a/internal/transport/proxy/origin.go
+++ b/internal/transport/proxy/origin.go
@@ -48,6 +48,9 @@
 		return true
 	}
 	version, known := software(&run.assignment.Target, run.peer, run.response)
+	if run.peer == "" && exchange.proxy.boots.Restarted(run.assignment.Target) {
+		known = false
+	}
 	return exchange.beginAt(version, known)
 }
 
--- a/internal/transport/proxy/origin_test.go
+++ b/internal/transport/proxy/origin_test.go
@@ -1,13 +1,16 @@
 package proxy_test
 
 import (
+	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"mangopier.example/mangopier/internal/protocol/site"
+	"mangopier.example/mangopier/internal/transport/proxy"
 )
 
 // versionRuns records which engines decoded, in the order of their runs.
@@ -201,3 +204,49 @@
 		t.Errorf("response = %+v after the runs %s, want events 3 and 4 of v2-a", response, runs)
 	}
 }
+
+// restarted are the IDs of engines that were started again.
+type restarted []string
+
+// Check returns false for the engines.
+func (restarted restarted) Check(_ context.Context, target site.Target) bool {
+	return !slices.Contains(restarted, target.ID)
+}
+
+// Restarted returns true for the engines.
+func (restarted restarted) Restarted(target site.Target) bool {
+	return slices.Contains(restarted, target.ID)
+}
+
+// An engine was started again, perhaps with another software version, and its entry still
+// tells the earlier one. Guards against resuming a stream there (ORDER), and against taking up
+// one that began there at engines of the version that the entry tells.
+func TestStreamDoesNotGoOnAtRestartedEngine(t *testing.T) {
+	t.Run("the other engine of its version", func(t *testing.T) {
+		harness := newHarness(t, proxy.WithBoots(restarted{"v1-b"}))
+		harness.startTarget("p1", "llm", site.Prefill, respondPrefilled)
+		for _, id := range []string{"v1-b", "v2-a"} {
+			harness.startVersion(id, "llm", site.Decode, version(id), func(w http.ResponseWriter, r *http.Request) { sendEvents(w, r, 4) })
+		}
+		harness.origins.Record("llm", "0123456789abcdef", "v1")
+		if response := harness.do(harness.newTakeUp("0123456789abcdef")); response.status != http.StatusServiceUnavailable {
+			t.Errorf("response = %+v, want 503", response)
+		}
+	})
+	t.Run("the engine that begins it", func(t *testing.T) {
+		harness := newHarness(t, proxy.WithBoots(restarted{"v1-b"}))
+		harness.startTarget("p1", "llm", site.Prefill, respondPrefilled)
+		harness.startVersion("v1-b", "llm", site.Decode, "v1", func(w http.ResponseWriter, r *http.Request) {
+			sendEvents(w, r, 2)
+			panic(http.ErrAbortHandler)
+		})
+		harness.startVersion("v2-a", "llm", site.Decode, "v2", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		harness.do(harness.newRequest(http.MethodPost, "/resume/x"))
+		if version, ok := harness.origins.Lookup("llm", "9c41d07be2a35f68"); ok {
+			t.Errorf("Lookup() of the stream = %s, want unknown", version)
+		}
+	})
+}
--- a/internal/transport/proxy/proxy.go
+++ b/internal/transport/proxy/proxy.go
@@ -94,6 +94,29 @@
 	return func(proxy *Proxy) { proxy.origins = origins }
 }
 
+// Boots tells whether targets still run since the start that their entries name.
+type Boots interface {
+	// Check asks a target. It returns false if it was started again or does not answer.
+	Check(ctx context.Context, target site.Target) bool
+	// Restarted reports whether a target was found to have been started again.
+	Restarted(target site.Target) bool
+}
+
+// WithBoots sets what checks the targets at which streams go on. By default no target is
+// started again.
+func WithBoots(boots Boots) Option {
+	return func(proxy *Proxy) { proxy.boots = boots }
+}
+
+// noBoots takes each entry for that of the running target.
+type noBoots struct{}
+
+// Check returns true.
+func (noBoots) Check(context.Context, site.Target) bool { return true }
+
+// Restarted returns false.
+func (noBoots) Restarted(site.Target) bool { return false }
+
 // WithManifestAge sets the function that returns how long the manifest has been in force and
 // how long ago the store was last heard, for the log lines of requests that the manifest does
 // not allow. By default these lines have no such fields.
@@ -113,6 +136,7 @@
 	reach         *reach.Tracker
 	crashes       *crash.Tracker
 	origins       *origin.Tracker
+	boots         Boots
 	memory        responseMemory
 	bounds        site.Bounds
 	instanceCount func() int
@@ -136,7 +160,7 @@
 func New(codec Codec, client *back.Client, scheduler *place.Scheduler, tracker *health.Tracker, meter UsageMeter, opts ...Option) *Proxy {
 	proxy := &Proxy{
 		codec: codec, client: client, scheduler: scheduler, health: tracker, meter: meter,
-		peers: noPeers{}, reach: reach.New(), crashes: crash.New(),
+		peers: noPeers{}, boots: noBoots{}, reach: reach.New(), crashes: crash.New(),
 		origins:       origin.New(origin.WithFirstStart()),
 		memory:        responseMemory{limit: defaultResponseMemory},
 		instanceCount: func() int { return 1 },
