--- a/internal/coordination/tally/era.go
+++ b/internal/coordination/tally/era.go
@@ -36,8 +36,8 @@
 	if !held {
 		return 0, false
 	}
-	if reporter.firstWindow != nil && reporter.firstWindow.Era == grant.Era {
-		return reporter.firstWindow.FirstWindow, true
+	if reporter.storedEra != nil && reporter.storedEra.Era == grant.Era {
+		return reporter.storedEra.FirstWindow, true
 	}
 	era, seenAt := reporter.eraSeen()
 	if era != grant.Era {
@@ -51,7 +51,7 @@
 	if _, held := currentGrant(); !held {
 		return 0, false
 	}
-	reporter.firstWindow = &first
+	reporter.storedEra = &first
 	reporter.logger.Info().Uint64("era", era).Int64("first-window", first.FirstWindow).Msg("usage windows of before the store's era are left out")
 	return first.FirstWindow, true
 }
--- a/internal/coordination/tally/report.go
+++ b/internal/coordination/tally/report.go
@@ -60,11 +60,11 @@
 	maxReportDelay time.Duration
 	logger         zerolog.Logger
 
-	eraSeen func() (era uint64, seenAt time.Time)
+	eraSeen func() (era uint64, seenAt time.Time) // nil if the store is never restored
 
-	nextWindow  int64                      // first window that is not reported yet
-	unsent      map[int64]map[string]int64 // counts, by window, that are stored and not sent yet
-	firstWindow *eraRow                    // nil if it has to be read
+	nextWindow int64                      // first window that is not reported yet
+	unsent     map[int64]map[string]int64 // counts, by window, that are stored and not sent yet
+	storedEra  *eraRow                    // row of the current era, nil if it has to be read
 }
 
 // ReporterOption configures a Reporter.
@@ -123,7 +123,7 @@
 // Reset clears the record of reported windows. It is called when the lease has
 // been acquired: another holder may have reported windows since.
 func (reporter *Reporter) Reset() {
-	reporter.nextWindow, reporter.firstWindow = 0, nil
+	reporter.nextWindow, reporter.storedEra = 0, nil
 	clear(reporter.unsent)
 }
 
