--- a/internal/coordination/origin/keepers_test.go
+++ b/internal/coordination/origin/keepers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,9 +41,11 @@
 
 // keeperSite is a few instances whose datagrams take a millisecond or get lost.
 type keeperSite struct {
+	members []origin.Member
+
+	mutex    sync.Mutex
 	trackers map[string]*origin.Tracker
-	members  []origin.Member
-	lost     func(from, to string) bool
+	lost     func(from, to string) bool // called with the mutex held
 }
 
 // keeperPeers is the view of one instance.
@@ -65,15 +68,46 @@
 func (site *keeperSite) start(name string) {
 	tracker := newTracker(origin.WithFirstStart(), origin.WithPeers(name, keeperPeers{site, name}))
 	tracker.SetTargets(targets("v1", "v2"))
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
 	site.trackers[name] = tracker
 }
 
+// tracker returns the tracker of an instance, nil if it was killed.
+func (site *keeperSite) tracker(name string) *origin.Tracker {
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	return site.trackers[name]
+}
+
+func (site *keeperSite) kill(name string) {
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	delete(site.trackers, name)
+}
+
+func (site *keeperSite) isLost(from, to string) bool {
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	return site.lost(from, to)
+}
+
+// lose has the next datagrams get lost.
+func (site *keeperSite) lose(count int) {
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	site.lost = func(string, string) bool {
+		count--
+		return count >= 0
+	}
+}
+
 func (site *keeperSite) send(from, to string, receive func(*origin.Tracker)) {
-	if site.lost(from, to) {
+	if site.isLost(from, to) {
 		return
 	}
 	time.AfterFunc(time.Millisecond, func() {
-		if tracker, ok := site.trackers[to]; ok {
+		if tracker := site.tracker(to); tracker != nil {
 			receive(tracker)
 		}
 	})
@@ -108,12 +142,14 @@
 				begun := map[string]string{}
 				for i := range 40 {
 					attempt, version := fmt.Sprint("stream-", i), fmt.Sprint("v", 1+i%2)
-					site.trackers["i0"].Record(service, attempt, version)
+					site.tracker("i0").Record(service, attempt, version)
 					begun[attempt] = version
 				}
 				time.Sleep(2 * time.Millisecond)
-				delete(site.trackers, "i0")
-				for name, tracker := range site.trackers {
+				site.kill("i0")
+				for i := 1; i < count; i++ {
+					name := fmt.Sprint("i", i)
+					tracker := site.tracker(name)
 					for attempt, want := range begun {
 						version, ok := tracker.Await(t.Context(), service, attempt, 250*time.Millisecond)
 						if version != want || !ok {
@@ -121,7 +157,7 @@
 						}
 					}
 				}
-				if version, ok := site.trackers["i1"].Await(t.Context(), service, "unknown", 250*time.Millisecond); ok {
+				if version, ok := site.tracker("i1").Await(t.Context(), service, "unknown", 250*time.Millisecond); ok {
 					t.Errorf("Await() of a stream that nobody knows = %s, want none", version)
 				}
 			})
@@ -134,29 +170,24 @@
 func TestStreamIsFoundDespiteLosses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		site := newKeeperSite(7)
-		remaining := 0 // datagrams that get lost
-		site.lost = func(string, string) bool {
-			remaining--
-			return remaining >= 0
-		}
 		for i := range 20 {
 			attempt := fmt.Sprint("stream-", i)
-			remaining = 1 // to the first keeper
-			site.trackers["i0"].Record(service, attempt, "v2")
+			site.lose(1) // to the first keeper
+			site.tracker("i0").Record(service, attempt, "v2")
 			time.Sleep(2 * time.Millisecond)
-			remaining = 4 // the first questions
-			taker := site.trackers["i1"]
+			site.lose(4) // the first questions
+			taker := site.tracker("i1")
 			if version, ok := taker.Await(t.Context(), service, attempt, 250*time.Millisecond); version != "v2" || !ok {
 				t.Errorf("Await(%s) with losses = %q, %t, want v2", attempt, version, ok)
 			}
 		}
 		for i := range 20 {
 			attempt, restarted := fmt.Sprint("again-", i), fmt.Sprint("i", 2+i%5)
-			remaining = 0
-			site.trackers["i0"].Record(service, attempt, "v1")
+			site.lose(0)
+			site.tracker("i0").Record(service, attempt, "v1")
 			time.Sleep(2 * time.Millisecond)
 			site.start(restarted)
-			if version, ok := site.trackers["i1"].Await(t.Context(), service, attempt, 250*time.Millisecond); version != "v1" || !ok {
+			if version, ok := site.tracker("i1").Await(t.Context(), service, attempt, 250*time.Millisecond); version != "v1" || !ok {
 				t.Errorf("Await(%s) after a restart of %s = %q, %t, want v1", attempt, restarted, version, ok)
 			}
 		}
@@ -173,9 +204,9 @@
 		time.Sleep(memory + time.Millisecond) // v2 has left
 		sent := 0
 		site.lost = func(string, string) bool { sent++; return false }
-		site.trackers["i0"].SetTargets(targets("v1"))
-		site.trackers["i0"].Record(service, "a", "v1")
-		if version, ok := site.trackers["i1"].Await(t.Context(), service, "a", time.Second); version != "v1" || !ok || sent > 0 {
+		site.tracker("i0").SetTargets(targets("v1"))
+		site.tracker("i0").Record(service, "a", "v1")
+		if version, ok := site.tracker("i1").Await(t.Context(), service, "a", time.Second); version != "v1" || !ok || sent > 0 {
 			t.Errorf("Await() = %q, %t with %d datagrams, want v1 with none", version, ok, sent)
 		}
 	})
