--- /dev/null
+++ b/cmd/mangopier/broken_test.go
@@ -0,0 +1,81 @@
+package main_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mangopier.example/mangopier/internal/transport/fakes"
+)
+
+// brokenTargets is the number of targets of the service: each broken answer makes one unhealthy.
+const brokenTargets = 64
+
+// brokenService is a service at /broken whose targets give any answer.
+type brokenService struct {
+	*deployment
+
+	answer  atomic.Pointer[fakes.RawHandler]
+	answers atomic.Int64 // that were given
+}
+
+func startBrokenService(t *testing.T) *brokenService {
+	t.Helper()
+	broken := &brokenService{deployment: startDeployment(t, 1)}
+	server, err := fakes.ListenRaw(func(conn *net.TCPConn, request *http.Request) {
+		if request.URL.Path != "/broken" {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			return
+		}
+		broken.answers.Add(1)
+		(*broken.answer.Load())(conn, request)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	var targets []string
+	for i := range brokenTargets {
+		targets = append(targets, fmt.Sprintf(`{"id": "broken-%d", "address": %q, "data-center": "kosice-0", "kind": "service", "service": "broken"}`, i, server.Address()))
+	}
+	broken.answerWith(func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	broken.publishNote(fmt.Sprintf(`{"after": 1, "routes": {"set": [{"path": "/broken", "service": "broken"}]}, "targets": {"set": [%s]}}`, strings.Join(targets, ",")))
+	broken.waitFor("an answer of the service", func() bool {
+		_, err := broken.post(0, "/broken", "x", "")
+		return err == nil
+	})
+	return broken
+}
+
+func (broken *brokenService) answerWith(handler fakes.RawHandler) {
+	broken.answer.Store(&handler)
+	broken.answers.Store(0)
+}
+
+// A target answers a long upload at once without a length, sends a part of the body and resets
+// the connection while the upload is being written. Guards against delivering that part as the
+// whole.
+func TestResetDuringUploadReachesNoCallerAsAnswer(t *testing.T) {
+	const calls = 30
+	broken := startBrokenService(t)
+	upload := strings.Repeat("x", 3900<<10)
+	for _, pause := range []time.Duration{time.Millisecond, 20 * time.Millisecond} {
+		broken.answerWith(fakes.ResetAfter("HTTP/1.1 200 OK\r\n\r\na part of the ", pause))
+		taken := 0
+		for range calls {
+			if _, err := broken.post(0, "/broken", upload, ""); err == nil {
+				taken++
+			}
+		}
+		if taken > 0 || broken.answers.Load() < calls/2 {
+			t.Errorf("reset after %v: %d of %d requests got the part of one of %d answers as complete, want none", pause, taken, calls, broken.answers.Load())
+		}
+	}
+}
--- a/internal/transport/dial/call.go
+++ b/internal/transport/dial/call.go
@@ -14,14 +14,14 @@
 // It is reset while it is busy too: a peer that does not read while it serves a call sees
 // a reset, but not the end of the connection.
 type CallConn struct {
-	net.Conn
+	*Conn
 
 	unanswered atomic.Bool // bytes were written, and none were read since
 	busy       atomic.Bool
 }
 
 // ForCalls wraps a connection on which calls are sent that may be left.
-func ForCalls(conn net.Conn) *CallConn { return &CallConn{Conn: conn} }
+func ForCalls(conn net.Conn) *CallConn { return &CallConn{Conn: Wrap(conn)} }
 
 // SetBusy states whether a call is under way, false by default.
 func (conn *CallConn) SetBusy(busy bool) { conn.busy.Store(busy) }
@@ -43,7 +43,7 @@
 
 // Close closes or resets the connection.
 func (conn *CallConn) Close() error {
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok && (conn.unanswered.Load() || conn.busy.Load() || hasUnacknowledged(tcp)) {
+	if tcp, ok := conn.Conn.Conn.(*net.TCPConn); ok && (conn.unanswered.Load() || conn.busy.Load() || hasUnacknowledged(tcp)) {
 		_ = tcp.SetLinger(0) // fails only if the connection has ended
 	}
 	return conn.Conn.Close()
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -69,7 +69,7 @@
 		// maxHeaderBytes bounds the head of an answer.
 		maxHeaderBytes = 64 << 10
 	)
-	transport := &http.Transport{DialContext: dial.New(dial.WithUserTimeout(userTimeout)).DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	transport := &http.Transport{DialContext: dial.Context(dial.New(dial.WithUserTimeout(userTimeout))), IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	for _, opt := range opts {
 		opt(transport)
 	}
--- /dev/null
+++ b/internal/transport/node/broken_test.go
@@ -0,0 +1,149 @@
+package node_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mangopier.example/mangopier/internal/transport/fakes"
+)
+
+// brokenSite is one process of the program before targets whose answers need not be HTTP.
+type brokenSite struct {
+	*soak
+
+	answer  atomic.Pointer[fakes.RawHandler] // to requests of callers, except prefills
+	answers atomic.Int64                     // that were given
+}
+
+// brokenTargets is the number of targets of each kind: each broken answer ejects one.
+const brokenTargets = 64
+
+func newBrokenSite(t *testing.T) *brokenSite {
+	t.Helper()
+	broken := &brokenSite{soak: newSoak(t, []string{buildProgram(t, ".")}, 1)}
+	server, err := fakes.ListenRaw(broken.serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	control := httptest.NewServer(&broken.control)
+	t.Cleanup(control.Close)
+	broken.addInstance(0, freePort(t), control.Listener.Addr().String())
+	broken.instances[0].storeEndpoint.targets = nil // links would end both sides of a connection at once
+	broken.store.put("op", "config", fmt.Sprintf(endlessManifest, host, key))
+	for service, stages := range map[string][]string{"desk": {""}, "llm": {"prefill", "decode"}} {
+		for _, stage := range stages {
+			for i := range brokenTargets {
+				broken.store.put("servers", fmt.Sprint("i-", service, stage, i), fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"tas-a","Slots":64,"State":"ready","Stage":%q}`, service, server.Address(), stage))
+			}
+		}
+	}
+	broken.start(broken.instances[0])
+	t.Cleanup(broken.stopAll)
+	broken.answerWith(func(conn *net.TCPConn, request *http.Request) {
+		_, _ = fmt.Fprint(conn, brokenHead(request)+"Content-Length: 2\r\n\r\nok")
+	})
+	eventually(t, "the process serves", func() bool { return broken.ask("/read/", nil).status == http.StatusOK })
+	return broken
+}
+
+// brokenHead returns the beginning of the head of an answer to a request.
+func brokenHead(request *http.Request) string {
+	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.Header.Get("Attempt-Id") + "\r\nResponse-Signature: s\r\n"
+}
+
+func (broken *brokenSite) answerWith(handler fakes.RawHandler) {
+	broken.answer.Store(&handler)
+	broken.answers.Store(0)
+}
+
+func (broken *brokenSite) serve(conn *net.TCPConn, request *http.Request) {
+	body := ""
+	switch {
+	case request.Header.Get("Serving-Stage") == "prefill":
+		body = `{"KvHandle":"h1","Tokens":1460,"Version":1}`
+	case request.Header.Get("Attempt-Id") != "":
+		broken.answers.Add(1)
+		(*broken.answer.Load())(conn, request)
+		return
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", brokenHead(request), len(body), body)
+}
+
+// brokenAnswer is what a caller gets. The error tells that the answer is not complete.
+type brokenAnswer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (broken *brokenSite) ask(path string, body []byte) brokenAnswer {
+	request, err := http.NewRequestWithContext(broken.t.Context(), http.MethodPost, "http://"+broken.instances[0].front+path+"x", bytes.NewReader(body))
+	if err != nil {
+		broken.t.Fatal(err)
+	}
+	request.Host = host
+	for name, value := range map[string]string{
+		"Attempt-Id": fmt.Sprint("a-", broken.served.Add(1)), "Authorization": "Bearer " + key, "Deadline-Ms": "3000",
+		"Model": "m", "Token-Count": "1460,80", "Prompt-Prefix": "5c1e07a2:800,e4402b7d:660",
+	} {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return brokenAnswer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return brokenAnswer{response.StatusCode, response.Header, string(data), err}
+}
+
+// A target answers a long upload at once without a length, sends a part of the body and resets
+// the connection while the upload is being written. Guards against delivering that part as the
+// whole (MIXED).
+func TestResetDuringUploadReachesNoCallerAsAnswer(t *testing.T) {
+	const upload, calls = 3900 << 10, 30
+	broken := newBrokenSite(t)
+	for path, part := range map[string]string{"/book/": "a part of the ", "/read/": "a part of the ", "/ask/": "id: 1\ndata: a\n\n"} {
+		for _, pause := range []time.Duration{time.Millisecond, 20 * time.Millisecond} {
+			broken.answerWith(func(conn *net.TCPConn, request *http.Request) {
+				fakes.ResetAfter(brokenHead(request)+"\r\n"+part, pause)(conn, request)
+			})
+			taken := 0
+			for range calls {
+				if answer := broken.ask(path, make([]byte, upload)); answer.status == http.StatusOK && answer.err == nil {
+					taken++
+				}
+			}
+			if taken > 0 || broken.answers.Load() < calls/2 {
+				t.Errorf("%s, reset after %v: %d of %d requests got the part of one of %d answers as complete, want none", path, pause, taken, calls, broken.answers.Load())
+			}
+		}
+	}
+}
+
+// A target answers a long upload at once without a length and ends its side of the connection.
+// Guards against answers that are whole and that callers do not get.
+func TestEndDuringUploadReachesCallerAsAnswer(t *testing.T) {
+	broken := newBrokenSite(t)
+	broken.answerWith(func(conn *net.TCPConn, request *http.Request) {
+		_, _ = io.WriteString(conn, brokenHead(request)+"\r\nthe whole answer")
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, request.Body)
+		_ = conn.Close()
+	})
+	for range 10 {
+		if answer := broken.ask("/book/", make([]byte, 3900<<10)); answer.status != http.StatusOK || answer.body != "the whole answer" || answer.err != nil {
+			t.Errorf("answer = %+v, want 200 with the whole answer", answer)
+		}
+	}
+}
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"mangopier.example/mangopier/internal/protocol/peerpb"
+	"mangopier.example/mangopier/internal/transport/dial"
 )
 
 const (
@@ -37,7 +38,7 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial.Context(dialer),
 		MaxIdleConns:           maxIdleConns,
 		MaxConnsPerHost:        maxConnsPerPeer,
 		MaxIdleConnsPerHost:    maxIdleConnsPerPeer,
--- /dev/null
+++ b/internal/transport/plat/broken_test.go
@@ -0,0 +1,32 @@
+package plat_test
+
+import (
+	"testing"
+	"time"
+
+	"mangopier.example/mangopier/internal/protocol/code"
+	"mangopier.example/mangopier/internal/transport/fakes"
+	"mangopier.example/mangopier/internal/transport/plat"
+)
+
+func listenRaw(t *testing.T, handler fakes.RawHandler) string {
+	t.Helper()
+	server, err := fakes.ListenRaw(handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return server.Address()
+}
+
+// The platform begins to answer without a length and resets the connection while an object is
+// being written. Guards against taking the write for confirmed by that.
+func TestResetDuringWriteConfirmsNothing(t *testing.T) {
+	const upload = 8 << 20 // more than the buffers of the connection hold
+	client := plat.NewClient(listenRaw(t, fakes.ResetAfter("HTTP/1.1 200 OK\r\n\r\n{", time.Millisecond)))
+	for range 20 {
+		if err := client.Put(t.Context(), "snapshot", make([]byte, upload)); !code.Is(err, code.WriteUnknown) {
+			t.Errorf("Put() = %v, want code %v", err, code.WriteUnknown)
+		}
+	}
+}
--- a/internal/transport/plat/client.go
+++ b/internal/transport/plat/client.go
@@ -21,6 +21,7 @@
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/infra"
 	"mangopier.example/mangopier/internal/state/table"
+	"mangopier.example/mangopier/internal/transport/dial"
 )
 
 const (
@@ -60,7 +61,7 @@
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	client.transport = &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial.Context(dialer),
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout:     idleTimeout,
