A response with a malformed field name is none (MIXED)

Callers saw: a target in trouble sends an answer in whose head the name of a field holds a blank. It is delivered with that line passed on, or, if the line is `Content-Length : 5` or `Transfer-Encoding : chunked`, with a body that is not the target's.

Cause: net/http accepts names with blanks in heads of responses and keeps them as they came; the field that was meant is missing then. Nothing here looked at names.

Control bytes in names fail the call in net/http already; their tests are kept.

A response that fails is treated like one without a status: the target may have run the request, its health counts a failure, the request is repeated where its route allows it, and its connection is closed. The clients of the store, the platform and other instances use a transport with the same check.

--- a/cmd/mangopier/broken_test.go
+++ b/cmd/mangopier/broken_test.go
@@ -79,3 +79,19 @@
 		}
 	}
 }
+
+// A target answers with a head in which the name of a field holds a blank or a control byte.
+// Guards against a body that ends elsewhere than the target's, as the line that gives its length
+// is not understood.
+func TestBrokenFieldNameReachesNoCaller(t *testing.T) {
+	broken := startBrokenService(t)
+	for _, line := range []string{"Content-Length : 5", "Content Length: 5", "Transfer-Encoding : chunked", "X-Broken : 1", "X-Bro\x01ken: 1", "X-Broken\x7f: 1"} {
+		broken.answerWith(func(conn *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\nwhole and more")
+			_ = conn.Close()
+		})
+		if body, err := broken.post(0, "/broken", "x", ""); err == nil || broken.answers.Load() == 0 {
+			t.Errorf("response with the line %q = %q, %v, after %d answers of targets; want an error", line, body, err, broken.answers.Load())
+		}
+	}
+}
--- a/internal/transport/back/broken_test.go
+++ b/internal/transport/back/broken_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -81,3 +83,35 @@
 		client.Close()
 	}
 }
+
+// A target answers with a name of a field that holds a byte that it may not hold. Guards against a
+// response without that field (MIXED), and against another call on the connection.
+func TestResponseWithBrokenFieldNameIsNone(t *testing.T) {
+	var broken sync.Map // addresses of callers that got a broken response
+	address := listenRaw(t, func(conn *net.TCPConn, request *http.Request) {
+		peer := conn.RemoteAddr().String()
+		line := "X-Sound: 1"
+		if request.URL.Path == "/broken" {
+			line = request.Header.Get("X-Line")
+			line, _ = strconv.Unquote(line)
+			broken.Store(peer, true)
+		} else if _, used := broken.Load(peer); used {
+			t.Error("Do() uses the connection of a broken response")
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 0\r\n\r\n")
+	})
+	for _, line := range []string{"X-Broken : 1", "X Broken: 1", "Not-Executed : 1", "X-Broken\t: 1", "X-\x01Broken: 1", "X-Broken\x7f: 1", "X-Br\xc3\xb6ken: 1", "X(Broken): 1", ": 1"} {
+		t.Run(strconv.Quote(line), func(t *testing.T) {
+			client := back.New()
+			defer client.Close()
+			_, _, err := callWhole(client, &back.Call{
+				Address: address, Method: http.MethodPost, Path: "/broken", ReuseConnection: true,
+				Header: http.Header{"X-Line": {strconv.QuoteToASCII(line)}},
+			})
+			checkErrorState(t, err, back.MayHaveRun)
+			if _, _, err := callWhole(client, &back.Call{Address: address, Method: http.MethodPost, Path: "/sound", ReuseConnection: true}); err != nil {
+				t.Errorf("Do() after a broken response = %v", err)
+			}
+		})
+	}
+}
--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -27,6 +27,7 @@
 	"mangopier.example/mangopier/internal/protocol/code"
 	"mangopier.example/mangopier/internal/protocol/engine"
 	"mangopier.example/mangopier/internal/transport/dial"
+	"mangopier.example/mangopier/internal/transport/head"
 )
 
 const (
@@ -172,10 +173,13 @@
 		}
 		return nil, &CallError{State: callState(&sent), Err: contextCause(ctx, err)}
 	}
-	err = client.checkAttempt(call, response, reused.Load())
+	err = head.Check(response.Header)
 	if response.StatusCode < http.StatusOK {
 		err = errInvalidStatus
 	}
+	if err == nil {
+		err = client.checkAttempt(call, response, reused.Load())
+	}
 	if err != nil {
 		_ = response.Body.Close()
 		client.DropConnections(call.Address)
--- a/internal/transport/detour/broken_test.go
+++ b/internal/transport/detour/broken_test.go
@@ -1,12 +1,17 @@
 package detour_test
 
 import (
+	"context"
+	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"mangopier.example/mangopier/internal/protocol/site"
+	"mangopier.example/mangopier/internal/transport/back"
 	"mangopier.example/mangopier/internal/transport/fakes"
 )
 
@@ -46,3 +51,27 @@
 		t.Error("Do() returned no response, want one with a part of the body")
 	}
 }
+
+// An instance of an earlier build hands on the head of a target's response as it came. Guards
+// against passing on a field whose name or value breaks the head of the response to the caller.
+func TestBrokenFieldOfForwardedResponseIsRejected(t *testing.T) {
+	for name, value := range map[string]string{"X Broken": "1", "X-Broken ": "1", "X-Br\x01ken": "1", "X\r\nY": "1", "": "1", "X-Broken": "1\r\nY: 2"} {
+		peer := startPeer(t, func(_ context.Context, w http.ResponseWriter, _ *site.ForwardedRequest) {
+			w.Header()[name] = []string{value}
+			w.WriteHeader(http.StatusOK)
+		}, nil)
+		response, err := newClient(t).Do(t.Context(), peer.address, &site.ForwardedRequest{})
+		checkState(t, response, err, back.MayHaveRun)
+	}
+}
+
+// What has the address of another instance answers with a head in which the name of a field
+// holds a blank. Guards against taking what follows for the response to the request.
+func TestBrokenFieldNameOfInstanceIsRejected(t *testing.T) {
+	address := listenRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+		const body = "\x00\x00\x00\x00\x04\xa1\x01\x18\xc8" + "\x02\x00\x00\x00\x02{}" // status 200, end
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/connect+cbor\r\nX Broken: 1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	})
+	response, err := newClient(t).Do(t.Context(), address, &site.ForwardedRequest{})
+	checkState(t, response, err, back.MayHaveRun)
+}
--- a/internal/transport/detour/client.go
+++ b/internal/transport/detour/client.go
@@ -20,11 +20,12 @@
 	"mangopier.example/mangopier/internal/protocol/site"
 	"mangopier.example/mangopier/internal/transport/back"
 	"mangopier.example/mangopier/internal/transport/dial"
+	"mangopier.example/mangopier/internal/transport/head"
 )
 
 // Client has other instances run requests. Its methods may be called by several
 // goroutines.
-type Client struct{ transport *http.Transport }
+type Client struct{ transport *head.Transport }
 
 // ClientOption configures a client's transport.
 type ClientOption func(*http.Transport)
@@ -79,7 +80,7 @@
 	for _, opt := range opts {
 		opt(transport)
 	}
-	return &Client{transport: transport}
+	return &Client{transport: head.New(transport)}
 }
 
 // Close closes idle connections. Calls in progress go on.
@@ -125,19 +126,36 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if stream.Receive() && stream.Msg().Status >= http.StatusOK {
-		return stream, stream.Msg(), nil
+	if stream.Receive() {
+		err = checkHeader(stream.Msg(), address)
+	} else if err = stream.Err(); err == nil {
+		err = noHeaderError(address)
 	}
-	err = stream.Err()
-	_ = stream.Close() // the call has failed already
-	if err == nil {
-		err = code.Errorf(code.MessageMalformed, "response of instance %s has no header", address)
+	if err != nil {
+		_ = stream.Close() // the call has failed already
+		return nil, nil, err
+	}
+	return stream, stream.Msg(), nil
+}
+
+// checkHeader returns an error if a message does not begin a response, or if its header cannot be
+// passed on: an instance of an earlier build hands on what a target wrote.
+func checkHeader(message *wireResponse, address string) error {
+	if message.Status < http.StatusOK {
+		return noHeaderError(address)
 	}
-	return nil, nil, err
+	if err := head.Check(message.Header); err != nil {
+		return code.Wrap(err, code.MessageMalformed, "response of instance "+address)
+	}
+	return nil
+}
+
+func noHeaderError(address string) error {
+	return code.Errorf(code.MessageMalformed, "response of instance %s has no header", address)
 }
 
 // sender sends each request once. It implements connect.HTTPClient.
-type sender struct{ transport *http.Transport }
+type sender struct{ transport *head.Transport }
 
 // Do sends a request. Without GetBody, the transport cannot send it again.
 func (sender sender) Do(request *http.Request) (*http.Response, error) {
--- /dev/null
+++ b/internal/transport/head/head.go
@@ -0,0 +1,49 @@
+// Package head rejects responses that net/http accepts though their heads are not HTTP/1.1.
+package head
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrMalformed is in the error of a call whose response has a malformed head.
+var ErrMalformed = errors.New("malformed head of a response")
+
+// Check returns an error with ErrMalformed if the name or a value of a field holds a byte that it
+// may not hold. net/http accepts names with blanks: the field of that name, such as the length of
+// the body, is then missing.
+func Check(header http.Header) error {
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, isInvalid) {
+			return fmt.Errorf("%w: field %q", ErrMalformed, name)
+		}
+	}
+	return nil
+}
+
+func isInvalid(value string) bool { return !httpguts.ValidHeaderFieldValue(value) }
+
+// Transport is an http.Transport whose calls fail if the head of the response is malformed.
+type Transport struct{ *http.Transport }
+
+// New returns a Transport that uses the given one.
+func New(transport *http.Transport) *Transport { return &Transport{transport} }
+
+// RoundTrip sends a request and returns the response. Errors are those of
+// http.Transport.RoundTrip and Check.
+func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := transport.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(response.Header); err != nil {
+		_ = response.Body.Close()
+		transport.CloseIdleConnections() // the connection is idle already if the response has no body
+		return nil, err
+	}
+	return response, nil
+}
--- a/internal/transport/mirror/source.go
+++ b/internal/transport/mirror/source.go
@@ -15,6 +15,7 @@
 	"mangopier.example/mangopier/internal/protocol/codec"
 	"mangopier.example/mangopier/internal/state/table"
 	"mangopier.example/mangopier/internal/transport/dial"
+	"mangopier.example/mangopier/internal/transport/head"
 )
 
 const (
@@ -73,7 +74,7 @@
 	for _, opt := range opts {
 		opt(transport)
 	}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: &http.Client{Transport: head.New(transport)}}
 }
 
 // Close closes idle connections.
--- a/internal/transport/node/broken_test.go
+++ b/internal/transport/node/broken_test.go
@@ -147,3 +147,42 @@
 		}
 	}
 }
+
+// brokenNames are lines of a head in which the name of a field holds a byte that no name may
+// hold, with the lines around them.
+var brokenNames = map[string]string{
+	"blank before the colon":         "X-Broken : 1\r\nContent-Length: 5\r\n",
+	"blank inside":                   "X Broken: 1\r\nContent-Length: 5\r\n",
+	"blanks around":                  "X  Broken  : 1\r\nContent-Length: 5\r\n",
+	"tab before the colon":           "X-Broken\t: 1\r\nContent-Length: 5\r\n",
+	"control byte":                   "X-Bro\x01ken: 1\r\nContent-Length: 5\r\n",
+	"NUL":                            "X-Bro\x00ken: 1\r\nContent-Length: 5\r\n",
+	"DEL":                            "X-Broken\x7f: 1\r\nContent-Length: 5\r\n",
+	"carriage return":                "X-Bro\rken: 1\r\nContent-Length: 5\r\n",
+	"empty":                          ": 1\r\nContent-Length: 5\r\n",
+	"length, blank before the colon": "Content-Length : 5\r\n",
+	"length, blank inside":           "Content Length: 5\r\n",
+	"chunks, blank before the colon": "Transfer-Encoding : chunked\r\n",
+}
+
+// A target answers with a head in which the name of a field holds a blank or a control byte.
+// Guards against an answer that passes that line on, and against a body that ends elsewhere than
+// the target's, as the line that gives its length is not understood (MIXED).
+func TestBrokenFieldNameReachesNoCaller(t *testing.T) {
+	broken := newBrokenSite(t)
+	for name, lines := range brokenNames {
+		for path, body := range map[string]string{"/book/": "whole", "/read/": "whole", "/ask/": "id: 1\ndata: a\n\n"} {
+			broken.answerWith(func(conn *net.TCPConn, request *http.Request) {
+				_, _ = io.WriteString(conn, brokenHead(request)+lines+"\r\n"+body)
+				_ = conn.Close()
+			})
+			answer := broken.ask(path, nil)
+			if answer.err != nil || answer.status < http.StatusInternalServerError || answer.header.Get("Response-Signature") != "" || answer.header.Get("X-Mangopier-Run") == "not-run" {
+				t.Errorf("%s, name with %s: %+v, want a 5xx of the instance that does not say not-run", path, name, answer)
+			}
+			if broken.answers.Load() == 0 {
+				t.Errorf("%s, name with %s: no target was asked", path, name)
+			}
+		}
+	}
+}
--- a/internal/transport/peer/broken_test.go
+++ b/internal/transport/peer/broken_test.go
@@ -1,6 +1,9 @@
 package peer_test
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -33,3 +36,16 @@
 		}
 	}
 }
+
+// Another instance, or what has its address now, answers with a name of a field that holds a blank.
+// Guards against taking the copy for stored.
+func TestBrokenFieldNameConfirmsNothing(t *testing.T) {
+	client := peer.NewClient()
+	t.Cleanup(client.Close)
+	address := listenRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\nX Broken: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	if ack, err := client.CopyUsage(t.Context(), address, &peerpb.UsageCopy{Payload: []byte("x")}); err == nil {
+		t.Errorf("CopyUsage() = %v, nil, want an error", ack)
+	}
+}
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -11,6 +11,7 @@
 
 	"mangopier.example/mangopier/internal/protocol/peerpb"
 	"mangopier.example/mangopier/internal/transport/dial"
+	"mangopier.example/mangopier/internal/transport/head"
 )
 
 const (
@@ -31,13 +32,13 @@
 // result code that the peer returned.
 type Client struct {
 	httpClient *http.Client
-	transport  *http.Transport
+	transport  *head.Transport
 }
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
+	transport := head.New(&http.Transport{
 		DialContext:            dial.Context(dialer),
 		MaxIdleConns:           maxIdleConns,
 		MaxConnsPerHost:        maxConnsPerPeer,
@@ -45,7 +46,7 @@
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
-	}
+	})
 	return &Client{
 		httpClient: &http.Client{Transport: transport},
 		transport:  transport,
--- a/internal/transport/plat/broken_test.go
+++ b/internal/transport/plat/broken_test.go
@@ -1,6 +1,9 @@
 package plat_test
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -30,3 +33,14 @@
 		}
 	}
 }
+
+// The platform answers with a name of a field that holds a blank. Guards against taking the write
+// for confirmed by that.
+func TestBrokenFieldNameConfirmsNothing(t *testing.T) {
+	client := plat.NewClient(listenRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX Broken: 1\r\nContent-Length: 2\r\n\r\n{}")
+	}))
+	if err := client.Put(t.Context(), "snapshot", []byte("x")); !code.Is(err, code.WriteUnknown) {
+		t.Errorf("Put() = %v, want code %v", err, code.WriteUnknown)
+	}
+}
--- a/internal/transport/plat/client.go
+++ b/internal/transport/plat/client.go
@@ -22,6 +22,7 @@
 	"mangopier.example/mangopier/internal/protocol/infra"
 	"mangopier.example/mangopier/internal/state/table"
 	"mangopier.example/mangopier/internal/transport/dial"
+	"mangopier.example/mangopier/internal/transport/head"
 )
 
 const (
@@ -50,7 +51,7 @@
 	baseURL    string
 	timeout    time.Duration
 	httpClient *http.Client
-	transport  *http.Transport
+	transport  *head.Transport
 }
 
 // NewClient returns a client for the platform at address, an IP:port.
@@ -60,12 +61,12 @@
 		opt(client)
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	client.transport = &http.Transport{
+	client.transport = head.New(&http.Transport{
 		DialContext:         dial.Context(dialer),
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout:     idleTimeout,
-	}
+	})
 	client.httpClient = &http.Client{Transport: client.transport}
 	return client
 }
