--- a/cmd/mangopier/broken_test.go
+++ b/cmd/mangopier/broken_test.go
@@ -85,7 +85,7 @@
 // is not understood.
 func TestBrokenFieldNameReachesNoCaller(t *testing.T) {
 	broken := startBrokenService(t)
-	for _, line := range []string{"Content-Length : 5", "Content Length: 5", "Transfer-Encoding : chunked", "X-Broken : 1", "X-Bro\x01ken: 1", "X-Broken\x7f: 1"} {
+	for _, line := range []string{"Content-Length : 5", "Content Length: 5", "Transfer-Encoding : chunked", "X-Broken : 1", "X-Sound: 1\r\n Content-Length: 5", "X-Bro\x01ken: 1", "X-Broken\x7f: 1"} {
 		broken.answerWith(func(conn *net.TCPConn, _ *http.Request) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\nwhole and more")
 			_ = conn.Close()
--- a/internal/transport/back/broken_test.go
+++ b/internal/transport/back/broken_test.go
@@ -100,7 +100,7 @@
 		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 0\r\n\r\n")
 	})
-	for _, line := range []string{"X-Broken : 1", "X Broken: 1", "Not-Executed : 1", "X-Broken\t: 1", "X-\x01Broken: 1", "X-Broken\x7f: 1", "X-Br\xc3\xb6ken: 1", "X(Broken): 1", ": 1"} {
+	for _, line := range []string{"X-Broken : 1", "X Broken: 1", "Not-Executed : 1", "X-Broken\t: 1", "X-\x01Broken: 1", "X-Broken\x7f: 1", "X-Br\xc3\xb6ken: 1", "X(Broken): 1", ": 1", "X-Sound: 1\r\n X-Broken: 1", "X-Sound: 1\r\n\tNot-Executed: 1"} {
 		t.Run(strconv.Quote(line), func(t *testing.T) {
 			client := back.New()
 			defer client.Close()
--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -159,7 +159,10 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			sent.Store(true)
 			reused.Store(info.Reused)
-			conn, _ = info.Conn.(*dial.CallConn)
+			if response, ok := info.Conn.(*head.Conn); ok {
+				response.BeginResponse()
+				conn, _ = response.Conn.(*dial.CallConn)
+			}
 		},
 	})
 	request, err := client.newRequest(ctx, call)
--- a/internal/transport/back/conn.go
+++ b/internal/transport/back/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"mangopier.example/mangopier/internal/transport/dial"
+	"mangopier.example/mangopier/internal/transport/head"
 )
 
 // dialTarget makes a connection for calls to a target.
@@ -15,7 +16,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return dial.ForCalls(conn), nil
+	return head.Wrap(dial.ForCalls(conn)), nil
 }
 
 // callBody is the body of an answer. Its connection is busy until all of it has been read.
--- a/internal/transport/head/head.go
+++ b/internal/transport/head/head.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 
 	"golang.org/x/net/http/httpguts"
@@ -30,13 +31,23 @@
 // Transport is an http.Transport whose calls fail if the head of the response is malformed.
 type Transport struct{ *http.Transport }
 
-// New returns a Transport that uses the given one.
-func New(transport *http.Transport) *Transport { return &Transport{transport} }
+// New returns a Transport that uses the given one, whose DialContext it wraps.
+func New(transport *http.Transport) *Transport {
+	transport.DialContext = wrapDial(transport.DialContext)
+	return &Transport{transport}
+}
 
 // RoundTrip sends a request and returns the response. Errors are those of
-// http.Transport.RoundTrip and Check.
+// http.Transport.RoundTrip and Check, and those of Conn, which have ErrMalformed too.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := transport.Transport.RoundTrip(request)
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*Conn); ok {
+				conn.BeginResponse()
+			}
+		},
+	})
+	response, err := transport.Transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/node/broken_test.go
+++ b/internal/transport/node/broken_test.go
@@ -154,6 +154,9 @@
 	"blank before the colon":         "X-Broken : 1\r\nContent-Length: 5\r\n",
 	"blank inside":                   "X Broken: 1\r\nContent-Length: 5\r\n",
 	"blanks around":                  "X  Broken  : 1\r\nContent-Length: 5\r\n",
+	"blank only":                     "Content-Length: 5\r\nX-Sound: 1\r\n : 1\r\n",
+	"blank in front":                 "Content-Length: 5\r\n X-Broken: 1\r\n",
+	"tab in front":                   "Content-Length: 5\r\n\tX-Broken: 1\r\n",
 	"tab before the colon":           "X-Broken\t: 1\r\nContent-Length: 5\r\n",
 	"control byte":                   "X-Bro\x01ken: 1\r\nContent-Length: 5\r\n",
 	"NUL":                            "X-Bro\x00ken: 1\r\nContent-Length: 5\r\n",
@@ -162,7 +165,11 @@
 	"empty":                          ": 1\r\nContent-Length: 5\r\n",
 	"length, blank before the colon": "Content-Length : 5\r\n",
 	"length, blank inside":           "Content Length: 5\r\n",
+	"length, blank in front":         "X-Sound: 1\r\n Content-Length: 5\r\n",
+	"length, tab in front":           "X-Sound: 1\r\n\tContent-Length: 5\r\n",
 	"chunks, blank before the colon": "Transfer-Encoding : chunked\r\n",
+	"chunks, blank in front":         "X-Sound: 1\r\n Transfer-Encoding: chunked\r\n",
+	"blank after an interim head":    "",
 }
 
 // A target answers with a head in which the name of a field holds a blank or a control byte.
@@ -173,7 +180,11 @@
 	for name, lines := range brokenNames {
 		for path, body := range map[string]string{"/book/": "whole", "/read/": "whole", "/ask/": "id: 1\ndata: a\n\n"} {
 			broken.answerWith(func(conn *net.TCPConn, request *http.Request) {
-				_, _ = io.WriteString(conn, brokenHead(request)+lines+"\r\n"+body)
+				head := brokenHead(request)
+				if lines == "" {
+					head = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + head + "X-Sound: 1\r\n X-Broken: 1\r\n"
+				}
+				_, _ = io.WriteString(conn, head+lines+"\r\n"+body)
 				_ = conn.Close()
 			})
 			answer := broken.ask(path, nil)
