A status below 200 is no answer of the store or to a control call

What was seen elsewhere: a write to the store or to the platform that is answered 000, 099 or 101 counted as not made, a stage order or usage report as refused, though it may be carried out. A read recorded the era of the store that such an answer named.

Cause: these clients tell statuses apart, and one that is none ended in the branch of those that refuse.

Fix: head.Check looks at the status beside the names, so that the clients of targets, the store, the platform and other instances have one check. The outcome of such a write or order is unknown.

--- a/cmd/mangopier/broken_test.go
+++ b/cmd/mangopier/broken_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -95,3 +96,20 @@
 		}
 	}
 }
+
+// A target answers with a status line that holds no final status. Guards against an answer that
+// passes for one of the target.
+func TestBrokenStatusReachesNoCaller(t *testing.T) {
+	broken := startBrokenService(t)
+	for _, status := range []string{"000", "001", "099", "101", "00", "0000"} {
+		broken.answerWith(func(conn *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" OK\r\nContent-Length: 5\r\n\r\nwhole")
+			_ = conn.Close()
+		})
+		body, err := broken.post(0, "/broken", "x", "")
+		var failure *statusError
+		if !errors.As(err, &failure) || failure.runStatus != "unknown" || broken.answers.Load() == 0 {
+			t.Errorf("response with status %s = %q, %v, after %d answers of targets; want an error of the instance that says unknown", status, body, err, broken.answers.Load())
+		}
+	}
+}
--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -176,10 +176,7 @@
 		}
 		return nil, &CallError{State: callState(&sent), Err: contextCause(ctx, err)}
 	}
-	err = head.Check(response.Header)
-	if response.StatusCode < http.StatusOK {
-		err = errInvalidStatus
-	}
+	err = head.Check(response.StatusCode, response.Header)
 	if err == nil {
 		err = client.checkAttempt(call, response, reused.Load())
 	}
@@ -397,7 +394,6 @@
 var ErrInvalidCall = errors.New("invalid call")
 
 var (
-	errWrongAttempt  = errors.New("response carries the ID of another attempt")
-	errInvalidStatus = errors.New("response has no final status of HTTP")
-	errNoAttempt     = errors.New("refusal on a used connection carries no ID of an attempt")
+	errWrongAttempt = errors.New("response carries the ID of another attempt")
+	errNoAttempt    = errors.New("refusal on a used connection carries no ID of an attempt")
 )
--- a/internal/transport/detour/broken_test.go
+++ b/internal/transport/detour/broken_test.go
@@ -65,12 +65,35 @@
 	}
 }
 
+// Another instance hands on a status that is no final one, or what has its address answers with
+// one. Guards against taking that for the response of a target.
+func TestBrokenStatusOfForwardedResponseIsRejected(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		address := listenRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\nContent-Type: application/connect+cbor\r\nContent-Length: %d\r\n\r\n%s", status, len(okMessages), okMessages)
+			_ = conn.Close()
+		})
+		response, err := newClient(t).Do(t.Context(), address, &site.ForwardedRequest{})
+		checkState(t, response, err, back.MayHaveRun)
+	}
+	for _, message := range []string{"\xa1\x01\x00", "\xa1\x01\x18\x63", "\xa1\x01\x18\x65"} { // statuses 0, 99 and 101
+		messages := "\x00\x00\x00\x00" + string(rune(len(message))) + message + "\x02\x00\x00\x00\x02{}"
+		address := listenRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/connect+cbor\r\nContent-Length: %d\r\n\r\n%s", len(messages), messages)
+		})
+		response, err := newClient(t).Do(t.Context(), address, &site.ForwardedRequest{})
+		checkState(t, response, err, back.MayHaveRun)
+	}
+}
+
+// okMessages are the messages of a response with the status 200, and the end of the stream.
+const okMessages = "\x00\x00\x00\x00\x04\xa1\x01\x18\xc8" + "\x02\x00\x00\x00\x02{}"
+
 // What has the address of another instance answers with a head in which the name of a field
 // holds a blank. Guards against taking what follows for the response to the request.
 func TestBrokenFieldNameOfInstanceIsRejected(t *testing.T) {
 	address := listenRaw(t, func(conn *net.TCPConn, _ *http.Request) {
-		const body = "\x00\x00\x00\x00\x04\xa1\x01\x18\xc8" + "\x02\x00\x00\x00\x02{}" // status 200, end
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/connect+cbor\r\nX Broken: 1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/connect+cbor\r\nX Broken: 1\r\nContent-Length: %d\r\n\r\n%s", len(okMessages), okMessages)
 	})
 	response, err := newClient(t).Do(t.Context(), address, &site.ForwardedRequest{})
 	checkState(t, response, err, back.MayHaveRun)
--- a/internal/transport/detour/client.go
+++ b/internal/transport/detour/client.go
@@ -127,31 +127,16 @@
 		return nil, nil, err
 	}
 	if stream.Receive() {
-		err = checkHeader(stream.Msg(), address)
+		// An instance of an earlier build hands on what a target wrote.
+		if err = head.Check(stream.Msg().Status, stream.Msg().Header); err == nil {
+			return stream, stream.Msg(), nil
+		}
+		err = code.Wrap(err, code.MessageMalformed, "response of instance "+address)
 	} else if err = stream.Err(); err == nil {
-		err = noHeaderError(address)
-	}
-	if err != nil {
-		_ = stream.Close() // the call has failed already
-		return nil, nil, err
+		err = code.Errorf(code.MessageMalformed, "response of instance %s has no header", address)
 	}
-	return stream, stream.Msg(), nil
-}
-
-// checkHeader returns an error if a message does not begin a response, or if its header cannot be
-// passed on: an instance of an earlier build hands on what a target wrote.
-func checkHeader(message *wireResponse, address string) error {
-	if message.Status < http.StatusOK {
-		return noHeaderError(address)
-	}
-	if err := head.Check(message.Header); err != nil {
-		return code.Wrap(err, code.MessageMalformed, "response of instance "+address)
-	}
-	return nil
-}
-
-func noHeaderError(address string) error {
-	return code.Errorf(code.MessageMalformed, "response of instance %s has no header", address)
+	_ = stream.Close() // the call has failed already
+	return nil, nil, err
 }
 
 // sender sends each request once. It implements connect.HTTPClient.
--- a/internal/transport/head/head.go
+++ b/internal/transport/head/head.go
@@ -14,10 +14,13 @@
 // ErrMalformed is in the error of a call whose response has a malformed head.
 var ErrMalformed = errors.New("malformed head of a response")
 
-// Check returns an error with ErrMalformed if the name or a value of a field holds a byte that it
-// may not hold. net/http accepts names with blanks: the field of that name, such as the length of
-// the body, is then missing.
-func Check(header http.Header) error {
+// Check returns an error with ErrMalformed if a status is no final one of HTTP, or if the name or a
+// value of a field holds a byte that it may not hold. net/http accepts statuses from 0 on, and
+// names with blanks: the field of that name, such as the length of the body, is then missing.
+func Check(status int, header http.Header) error {
+	if status < http.StatusOK {
+		return fmt.Errorf("%w: status %03d", ErrMalformed, status)
+	}
 	for name, values := range header {
 		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, isInvalid) {
 			return fmt.Errorf("%w: field %q", ErrMalformed, name)
@@ -51,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(response.Header); err != nil {
+	if err := Check(response.StatusCode, response.Header); err != nil {
 		_ = response.Body.Close()
 		transport.CloseIdleConnections() // the connection is idle already if the response has no body
 		return nil, err
--- a/internal/transport/node/broken_test.go
+++ b/internal/transport/node/broken_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -197,3 +198,25 @@
 		}
 	}
 }
+
+// A target answers with a status line that holds no final status. Guards against an answer that
+// passes for one of the target.
+func TestBrokenStatusReachesNoCaller(t *testing.T) {
+	broken := newBrokenSite(t)
+	for _, status := range []string{"000", "001", "099", "101", "00", "0000"} {
+		for path, body := range map[string]string{"/book/": "whole", "/read/": "whole", "/ask/": "id: 1\ndata: a\n\n"} {
+			broken.answerWith(func(conn *net.TCPConn, request *http.Request) {
+				head := strings.Replace(brokenHead(request), "200 OK", status+" OK", 1)
+				_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+				_ = conn.Close()
+			})
+			answer := broken.ask(path, nil)
+			if answer.err != nil || answer.status < http.StatusInternalServerError || answer.header.Get("Response-Signature") != "" || answer.header.Get("X-Mangopier-Run") == "not-run" {
+				t.Errorf("%s, status %s: %+v, want a 5xx of the instance that does not say not-run", path, status, answer)
+			}
+			if broken.answers.Load() == 0 {
+				t.Errorf("%s, status %s: no target was asked", path, status)
+			}
+		}
+	}
+}
--- a/internal/transport/peer/broken_test.go
+++ b/internal/transport/peer/broken_test.go
@@ -49,3 +49,18 @@
 		t.Errorf("CopyUsage() = %v, nil, want an error", ack)
 	}
 }
+
+// What has the address of another instance answers with a status that is no final one. Guards
+// against taking the copy for stored.
+func TestBrokenStatusConfirmsNothing(t *testing.T) {
+	client := peer.NewClient()
+	t.Cleanup(client.Close)
+	for _, status := range []string{"000", "099", "101"} {
+		address := listenRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" OK\r\nContent-Type: application/proto\r\nContent-Length: 0\r\n\r\n")
+		})
+		if ack, err := client.CopyUsage(t.Context(), address, &peerpb.UsageCopy{Payload: []byte("x")}); err == nil {
+			t.Errorf("status %s: CopyUsage() = %v, nil, want an error", status, ack)
+		}
+	}
+}
--- a/internal/transport/plat/broken_test.go
+++ b/internal/transport/plat/broken_test.go
@@ -44,3 +44,17 @@
 		t.Errorf("Put() = %v, want code %v", err, code.WriteUnknown)
 	}
 }
+
+// The platform answers with a status that is no final one. Guards against taking the write for
+// refused, though it may have had its effect.
+func TestBrokenStatusRefusesNothing(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		client := plat.NewClient(listenRaw(t, func(conn *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\n{}")
+			_ = conn.Close()
+		}))
+		if err := client.Put(t.Context(), "snapshot", []byte("x")); !code.Is(err, code.WriteUnknown) {
+			t.Errorf("status %s: Put() = %v, want code %v", status, err, code.WriteUnknown)
+		}
+	}
+}
