A reset that a write reported is found without the state of the connection too

Without TCP_INFO, a write that has returned tells as much; only a write in progress cannot be waited for then.

TestReadFailsWithoutStateOfConnection failed before (end of the stream after a write that was reset).

--- a/internal/transport/dial/conn.go
+++ b/internal/transport/dial/conn.go
@@ -54,14 +54,30 @@
 // Read reads data from the connection.
 func (conn *Conn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
-	if errors.Is(err, io.EOF) && conn.hasFailed() {
-		err = conn.failure()
+	if errors.Is(err, io.EOF) {
+		err = conn.endError()
 	}
 	return count, err
 }
 
-// hasFailed reports whether the connection takes no more data, so that a Write in progress
-// returns at once.
+// endError returns io.EOF if the peer has ended its side, and otherwise the error of the Write that
+// was told why the connection failed.
+func (conn *Conn) endError() error {
+	if conn.hasFailed() {
+		conn.writing.Lock() // a Write in progress returns at once
+	} else if !conn.writing.TryLock() {
+		return io.EOF
+	}
+	defer conn.writing.Unlock()
+	var number syscall.Errno
+	if errors.As(conn.writeErr, &number) && number != syscall.EPIPE { // EPIPE: the peer had ended its side before
+		return conn.writeErr
+	}
+	return io.EOF
+}
+
+// hasFailed reports whether the connection was reset, given up or closed. It returns false if its
+// state is not known.
 func (conn *Conn) hasFailed() bool {
 	tcp, ok := conn.Conn.(syscall.Conn)
 	if !ok {
@@ -77,17 +93,5 @@
 			state = info.State
 		}
 	})
-	return err != nil || state == stateClosed // an error: it was closed after a Write that failed
-}
-
-// failure returns the error of a Write that was told why the connection failed, and io.EOF if
-// there is none. EPIPE tells that the peer had ended its side before.
-func (conn *Conn) failure() error {
-	conn.writing.Lock()
-	defer conn.writing.Unlock()
-	var number syscall.Errno
-	if errors.As(conn.writeErr, &number) && number != syscall.EPIPE {
-		return conn.writeErr
-	}
-	return io.EOF
+	return err != nil || state == stateClosed // an error: it was closed here after a Write that failed
 }
--- a/internal/transport/dial/conn_test.go
+++ b/internal/transport/dial/conn_test.go
@@ -86,3 +86,23 @@
 		t.Errorf("ReadAll() = %q, %v, want the whole stream", data, err)
 	}
 }
+
+// toldConn is a connection whose state is not known. Write is told of a reset.
+type toldConn struct{ net.Conn }
+
+func (toldConn) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
+func (toldConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Guards against the end of the stream in place of a reset where the kernel does not tell the
+// state of connections.
+func TestReadFailsWithoutStateOfConnection(t *testing.T) {
+	conn := dial.Wrap(toldConn{})
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("Read() before a write = %v, want EOF", err)
+	}
+	_, _ = conn.Write([]byte("a part of the request"))
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("Read() after a write that was reset = %v, want %v", err, syscall.ECONNRESET)
+	}
+}
