--- a/internal/transport/dial/call.go
+++ b/internal/transport/dial/call.go
@@ -43,7 +43,7 @@
 
 // Close closes or resets the connection.
 func (conn *CallConn) Close() error {
-	if tcp, ok := conn.Conn.Conn.(*net.TCPConn); ok && (conn.unanswered.Load() || conn.busy.Load() || hasUnacknowledged(tcp)) {
+	if tcp, ok := conn.wrapped().(*net.TCPConn); ok && (conn.unanswered.Load() || conn.busy.Load() || hasUnacknowledged(tcp)) {
 		_ = tcp.SetLinger(0) // fails only if the connection has ended
 	}
 	return conn.Conn.Close()
--- a/internal/transport/dial/conn.go
+++ b/internal/transport/dial/conn.go
@@ -40,6 +40,9 @@
 	}
 }
 
+// wrapped returns the connection that Wrap was given.
+func (conn *Conn) wrapped() net.Conn { return conn.Conn }
+
 // Write writes data to the connection.
 func (conn *Conn) Write(data []byte) (int, error) {
 	conn.writing.Lock()
--- a/internal/transport/head/conn.go
+++ b/internal/transport/head/conn.go
@@ -24,11 +24,11 @@
 // Wrap returns a Conn that uses the given connection.
 func Wrap(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
-// DialFunc makes a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+// dialFunc makes a connection, as http.Transport.DialContext.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // wrapDial returns a function that makes connections of type *Conn.
-func wrapDial(dial DialFunc) DialFunc {
+func wrapDial(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/transport/head/head.go
+++ b/internal/transport/head/head.go
@@ -34,7 +34,7 @@
 // Transport is an http.Transport whose calls fail if the head of the response is malformed.
 type Transport struct{ *http.Transport }
 
-// New returns a Transport that uses the given one, whose DialContext it wraps.
+// New returns a Transport that uses the given one and wraps its DialContext, which must be set.
 func New(transport *http.Transport) *Transport {
 	transport.DialContext = wrapDial(transport.DialContext)
 	return &Transport{transport}
