A malformed field name in an interim response or a trailer breaks the answer

Callers saw: an answer whose interim response (1xx) or trailer has a name with a blank is delivered as if it were sound. With a control byte there it is not.

Cause: net/http accepts blanks in these names as well, and only the final head was looked at.

Evidence: with both checks switched off for targets, TestBrokenFieldNameBesideHeadReachesNoCaller failed on all kinds of routes of mangopierd, as processes.

Fix: interim responses are looked at as they arrive, 64 of them at most, and trailers at the end of a body in chunks, by the client of targets and by the transport of all others. The tests of broken heads ask for the answer of a sound target where the route allows a repeat, at both programs; resets are tried after 0, 1 and 20 ms, and answers that end properly before the upload at mangopier serve too.

--- a/cmd/mangopier/broken_test.go
+++ b/cmd/mangopier/broken_test.go
@@ -29,7 +29,7 @@
 	t.Helper()
 	broken := &brokenService{deployment: startDeployment(t, 1)}
 	server, err := fakes.ListenRaw(func(conn *net.TCPConn, request *http.Request) {
-		if request.URL.Path != "/broken" {
+		if !strings.HasPrefix(request.URL.Path, "/broken") {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
 			return
 		}
@@ -47,7 +47,7 @@
 	broken.answerWith(func(conn *net.TCPConn, _ *http.Request) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	})
-	broken.publishNote(fmt.Sprintf(`{"after": 1, "routes": {"set": [{"path": "/broken", "service": "broken"}]}, "targets": {"set": [%s]}}`, strings.Join(targets, ",")))
+	broken.publishNote(fmt.Sprintf(`{"after": 1, "routes": {"set": [{"path": "/broken", "service": "broken"}, {"path": "/broken/repeatable", "service": "broken", "repeatable": true}]}, "targets": {"set": [%s]}}`, strings.Join(targets, ",")))
 	broken.waitFor("an answer of the service", func() bool {
 		_, err := broken.post(0, "/broken", "x", "")
 		return err == nil
@@ -64,10 +64,10 @@
 // the connection while the upload is being written. Guards against delivering that part as the
 // whole.
 func TestResetDuringUploadReachesNoCallerAsAnswer(t *testing.T) {
-	const calls = 30
+	const calls = 40
 	broken := startBrokenService(t)
 	upload := strings.Repeat("x", 3900<<10)
-	for _, pause := range []time.Duration{time.Millisecond, 20 * time.Millisecond} {
+	for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
 		broken.answerWith(fakes.ResetAfter("HTTP/1.1 200 OK\r\n\r\na part of the ", pause))
 		taken := 0
 		for range calls {
@@ -87,13 +87,43 @@
 func TestBrokenFieldNameReachesNoCaller(t *testing.T) {
 	broken := startBrokenService(t)
 	for _, line := range []string{"Content-Length : 5", "Content Length: 5", "Transfer-Encoding : chunked", "X-Broken : 1", "X-Sound: 1\r\n Content-Length: 5", "X-Bro\x01ken: 1", "X-Broken\x7f: 1"} {
-		broken.answerWith(func(conn *net.TCPConn, _ *http.Request) {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\nwhole and more")
-			_ = conn.Close()
-		})
-		if body, err := broken.post(0, "/broken", "x", ""); err == nil || broken.answers.Load() == 0 {
-			t.Errorf("response with the line %q = %q, %v, after %d answers of targets; want an error", line, body, err, broken.answers.Load())
+		broken.checkRejected("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nwhole and more")
+	}
+	for _, line := range []string{"X Broken: 1", "X-Broken : 1", "Content-Length : 5", "X-Bro\x01ken: 1"} {
+		broken.checkRejected("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+		broken.checkRejected("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + line + "\r\n\r\n")
+	}
+}
+
+// checkRejected checks that callers get an error of the instance that does not say that the request
+// has not run in place of a broken answer, and the answer of a sound target where the route allows
+// a repeat.
+func (broken *brokenService) checkRejected(answer string) {
+	broken.t.Helper()
+	broken.answerWith(func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, answer)
+		_ = conn.Close()
+	})
+	body, err := broken.post(0, "/broken", "x", "")
+	var failure *statusError
+	if !errors.As(err, &failure) || failure.runStatus == "not-run" || broken.answers.Load() == 0 {
+		broken.t.Errorf("response to %q of %d targets = %q, %v; want an error of the instance that does not say not-run", answer, broken.answers.Load(), body, err)
+	}
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"
+	broken.answerWith(func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, sound) })
+	for range 20 { // requests that the budget of repeats grows with
+		_, _ = broken.post(0, "/broken/repeatable", "x", "")
+	}
+	broken.answerWith(func(conn *net.TCPConn, _ *http.Request) {
+		text := answer
+		if broken.answers.Load() > 1 {
+			text = sound
 		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	})
+	if body, err := broken.post(0, "/broken/repeatable", "x", ""); body != "sound" || err != nil {
+		broken.t.Errorf("response to %q, then a sound target = %q, %v after %d answers; want that of the second", answer, body, err, broken.answers.Load())
 	}
 }
 
@@ -101,15 +131,24 @@
 // passes for one of the target.
 func TestBrokenStatusReachesNoCaller(t *testing.T) {
 	broken := startBrokenService(t)
-	for _, status := range []string{"000", "001", "099", "101", "00", "0000"} {
-		broken.answerWith(func(conn *net.TCPConn, _ *http.Request) {
-			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" OK\r\nContent-Length: 5\r\n\r\nwhole")
-			_ = conn.Close()
-		})
-		body, err := broken.post(0, "/broken", "x", "")
-		var failure *statusError
-		if !errors.As(err, &failure) || failure.runStatus != "unknown" || broken.answers.Load() == 0 {
-			t.Errorf("response with status %s = %q, %v, after %d answers of targets; want an error of the instance that says unknown", status, body, err, broken.answers.Load())
+	for _, status := range []string{"000", "001", "099", "101", "00", "0000", "1000"} {
+		broken.checkRejected("HTTP/1.1 " + status + " OK\r\nContent-Length: 5\r\n\r\nwhole")
+	}
+}
+
+// A target answers a long upload at once without a length and ends its side of the connection.
+// Guards against answers that are whole and that callers do not get.
+func TestEndDuringUploadReachesCallerAsAnswer(t *testing.T) {
+	broken := startBrokenService(t)
+	broken.answerWith(func(conn *net.TCPConn, request *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nthe whole answer")
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, request.Body)
+		_ = conn.Close()
+	})
+	for range 10 {
+		if body, err := broken.post(0, "/broken", strings.Repeat("x", 3900<<10), ""); body != "the whole answer" || err != nil {
+			t.Errorf("response = %q, %v, want the whole answer", body, err)
 		}
 	}
 }
--- a/internal/transport/back/client.go
+++ b/internal/transport/back/client.go
@@ -164,6 +164,7 @@
 				conn, _ = response.Conn.(*dial.CallConn)
 			}
 		},
+		Got1xxResponse: head.CheckInterim(),
 	})
 	request, err := client.newRequest(ctx, call)
 	if err != nil {
@@ -185,6 +186,7 @@
 		client.DropConnections(call.Address)
 		return nil, &CallError{State: MayHaveRun, Err: err}
 	}
+	response.Body = head.Body(response)
 	return &Response{
 		Status:  response.StatusCode,
 		Header:  response.Header,
--- a/internal/transport/head/head.go
+++ b/internal/transport/head/head.go
@@ -4,8 +4,10 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"slices"
 
 	"golang.org/x/net/http/httpguts"
@@ -21,6 +23,10 @@
 	if status < http.StatusOK {
 		return fmt.Errorf("%w: status %03d", ErrMalformed, status)
 	}
+	return checkFields(header)
+}
+
+func checkFields(header map[string][]string) error {
 	for name, values := range header {
 		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, isInvalid) {
 			return fmt.Errorf("%w: field %q", ErrMalformed, name)
@@ -31,6 +37,48 @@
 
 func isInvalid(value string) bool { return !httpguts.ValidHeaderFieldValue(value) }
 
+// maxInterim is the number of interim responses (1xx) that may come before a response. If they
+// are looked at, net/http bounds the bytes of each, but not their number.
+const maxInterim = 64
+
+// CheckInterim returns the function that httptrace calls with each interim response to one call.
+// It fails the call if a field is malformed or if there are too many of them.
+func CheckInterim() func(status int, header textproto.MIMEHeader) error {
+	count := 0
+	return func(_ int, header textproto.MIMEHeader) error {
+		if count++; count > maxInterim {
+			return fmt.Errorf("%w: more than %d interim responses", ErrMalformed, maxInterim)
+		}
+		return checkFields(header)
+	}
+}
+
+// body is a body in chunks. It does not end properly if a field of the trailer is malformed.
+type body struct {
+	io.ReadCloser
+
+	response *http.Response
+}
+
+// Body returns the body of a response. Reading it returns an error with ErrMalformed in place of
+// io.EOF if a field of the trailer is malformed.
+func Body(response *http.Response) io.ReadCloser {
+	if len(response.TransferEncoding) == 0 {
+		return response.Body // a trailer comes after chunks only
+	}
+	return &body{ReadCloser: response.Body, response: response}
+}
+
+func (body *body) Read(buffer []byte) (int, error) {
+	count, err := body.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		if malformed := checkFields(body.response.Trailer); malformed != nil {
+			err = malformed
+		}
+	}
+	return count, err
+}
+
 // Transport is an http.Transport whose calls fail if the head of the response is malformed.
 type Transport struct{ *http.Transport }
 
@@ -49,6 +97,7 @@
 				conn.BeginResponse()
 			}
 		},
+		Got1xxResponse: CheckInterim(),
 	})
 	response, err := transport.Transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
@@ -59,5 +108,6 @@
 		transport.CloseIdleConnections() // the connection is idle already if the response has no body
 		return nil, err
 	}
+	response.Body = Body(response)
 	return response, nil
 }
--- a/internal/transport/mirror/broken_test.go
+++ b/internal/transport/mirror/broken_test.go
@@ -13,7 +13,7 @@
 // What has the address of a mirror answers with a name of a field that holds a blank, or with a
 // status that is no final one. Guards against taking what follows for the table.
 func TestBrokenHeadOfMirrorIsRejected(t *testing.T) {
-	for _, begin := range []string{"HTTP/1.1 200 OK\r\nX Broken: 1\r\n", "HTTP/1.1 200 OK\r\nX-Sound: 1\r\n X-Broken: 1\r\n", "HTTP/1.1 000 OK\r\n", "HTTP/1.1 101 OK\r\n"} {
+	for _, begin := range []string{"HTTP/1.1 200 OK\r\nX Broken: 1\r\n", "HTTP/1.1 200 OK\r\nX-Sound: 1\r\n X-Broken: 1\r\n", "HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 000 OK\r\n", "HTTP/1.1 101 OK\r\n"} {
 		testBrokenHead(t, begin)
 	}
 }
--- a/internal/transport/node/broken_test.go
+++ b/internal/transport/node/broken_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -38,6 +39,7 @@
 	control := httptest.NewServer(&broken.control)
 	t.Cleanup(control.Close)
 	broken.addInstance(0, freePort(t), control.Listener.Addr().String())
+	broken.allowRepeats()
 	broken.instances[0].storeEndpoint.targets = nil // links would end both sides of a connection at once
 	broken.store.put("op", "config", fmt.Sprintf(endlessManifest, host, key))
 	for service, stages := range map[string][]string{"desk": {""}, "llm": {"prefill", "decode"}} {
@@ -53,9 +55,24 @@
 	broken.start(broken.instances[0])
 	t.Cleanup(broken.stopAll)
 	eventually(t, "the process serves", func() bool { return broken.ask("/read/", nil).status == http.StatusOK })
+	time.Sleep(time.Second) // an instance has no budget of repeats in its first window
 	return broken
 }
 
+// allowRepeats gives the instance a budget of repeats that the test does not use up, and a window of 1 s.
+func (broken *brokenSite) allowRepeats() {
+	path := broken.instances[0].settings
+	settings, err := os.ReadFile(path)
+	if err != nil {
+		broken.t.Fatal(err)
+	}
+	settings = bytes.Replace(settings, []byte(fmt.Sprint("BudgetSlack = ", soakExtraRetries)), []byte("BudgetSlack = 10000"), 1)
+	settings = bytes.Replace(settings, []byte("BudgetWindowS = 10"), []byte("BudgetWindowS = 1"), 1)
+	if err := os.WriteFile(path, settings, 0o600); err != nil {
+		broken.t.Fatal(err)
+	}
+}
+
 // brokenHead returns the beginning of the head of an answer to a request.
 func brokenHead(request *http.Request) string {
 	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.Header.Get("Attempt-Id") + "\r\nResponse-Signature: s\r\n"
@@ -113,10 +130,10 @@
 // the connection while the upload is being written. Guards against delivering that part as the
 // whole (MIXED).
 func TestResetDuringUploadReachesNoCallerAsAnswer(t *testing.T) {
-	const upload, calls = 3900 << 10, 30
+	const upload, calls = 3900 << 10, 40
 	broken := newBrokenSite(t)
 	for path, part := range map[string]string{"/book/": "a part of the ", "/read/": "a part of the ", "/ask/": "id: 1\ndata: a\n\n"} {
-		for _, pause := range []time.Duration{time.Millisecond, 20 * time.Millisecond} {
+		for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
 			broken.answerWith(func(conn *net.TCPConn, request *http.Request) {
 				fakes.ResetAfter(brokenHead(request)+"\r\n"+part, pause)(conn, request)
 			})
@@ -150,23 +167,41 @@
 	}
 }
 
-// checkRejected checks that callers get an error of the instance in place of an answer whose head
-// begins like that to a request, on routes of all kinds.
-func (broken *brokenSite) checkRejected(what string, head func(request *http.Request) string) {
+// brokenBodies are whole bodies by the paths of the routes.
+var brokenBodies = map[string]string{"/book/": "whole", "/read/": "whole", "/ask/": "id: 1\ndata: a\n\n", "/resume/": "id: 1\ndata: a\n\n"}
+
+// checkRejected checks that callers get an error of the instance in place of a broken answer, on
+// routes of all kinds, and the answer of a sound target where the route allows a repeat. Events that
+// came before what is broken may have been sent on, but not as the whole.
+func (broken *brokenSite) checkRejected(what string, write func(request *http.Request, body string) string) {
 	broken.t.Helper()
-	for path, body := range map[string]string{"/book/": "whole", "/read/": "whole", "/ask/": "id: 1\ndata: a\n\n"} {
+	for path, body := range brokenBodies {
 		broken.answerWith(func(conn *net.TCPConn, request *http.Request) {
-			_, _ = io.WriteString(conn, head(request)+"\r\n"+body)
+			_, _ = io.WriteString(conn, write(request, body))
 			_ = conn.Close()
 		})
 		answer := broken.ask(path, nil)
-		if answer.err != nil || answer.status < http.StatusInternalServerError || answer.header.Get("Response-Signature") != "" || answer.header.Get("X-Mangopier-Run") == "not-run" {
-			broken.t.Errorf("%s, %s: %+v, want a 5xx of the instance that does not say not-run", path, what, answer)
+		refused := answer.err == nil && answer.status >= http.StatusInternalServerError && !isPromise(answer.status) &&
+			answer.header.Get("Response-Signature") == "" && answer.header.Get("X-Mangopier-Run") != "not-run"
+		cutOff := answer.err != nil && strings.HasPrefix(body, "id:") && answer.status == http.StatusOK && strings.HasPrefix(what, "trailer")
+		if !refused && !cutOff {
+			broken.t.Errorf("%s, %s: %+v, want an error of the instance that does not say that the request has not run", path, what, answer)
 		}
 		if broken.answers.Load() == 0 {
 			broken.t.Errorf("%s, %s: no target was asked", path, what)
 		}
 	}
+	broken.answerWith(func(conn *net.TCPConn, request *http.Request) {
+		if broken.answers.Load() == 1 {
+			_, _ = io.WriteString(conn, write(request, brokenBodies["/read/"]))
+		} else {
+			_, _ = io.WriteString(conn, brokenHead(request)+"Content-Length: 5\r\n\r\nsound")
+		}
+		_ = conn.Close()
+	})
+	if answer := broken.ask("/read/", nil); answer.status != http.StatusOK || answer.body != "sound" || answer.err != nil {
+		broken.t.Errorf("/read/, %s, then a sound target: %+v after %d answers, want 200 with that of the second", what, answer, broken.answers.Load())
+	}
 }
 
 // brokenNames are lines of a head in which the name of a field holds a byte that no name may
@@ -198,20 +233,38 @@
 func TestBrokenFieldNameReachesNoCaller(t *testing.T) {
 	broken := newBrokenSite(t)
 	for name, lines := range brokenNames {
-		broken.checkRejected("name with "+name, func(request *http.Request) string { return brokenHead(request) + lines })
+		broken.checkRejected("name with "+name, func(request *http.Request, body string) string {
+			return brokenHead(request) + lines + "\r\n" + body
+		})
 	}
-	broken.checkRejected("name with a blank in front, after an interim head", func(request *http.Request) string {
-		return "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + brokenHead(request) + "X-Sound: 1\r\n X-Broken: 1\r\n"
+	broken.checkRejected("name with a blank in front, after an interim head", func(request *http.Request, body string) string {
+		return "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + brokenHead(request) + "X-Sound: 1\r\n X-Broken: 1\r\n\r\n" + body
 	})
 }
 
+// A target answers with a broken name of a field in an interim head or in a trailer, and otherwise
+// soundly. Guards against an answer of which one part is none of HTTP.
+func TestBrokenFieldNameBesideHeadReachesNoCaller(t *testing.T) {
+	broken := newBrokenSite(t)
+	for _, line := range []string{"X Broken: 1", "X-Broken : 1", "Content-Length : 5", "Transfer-Encoding : chunked", "X-Bro\x01ken: 1", "X-Broken\t: 1"} {
+		for _, interim := range []string{"100 Continue", "103 Early Hints"} {
+			broken.checkRejected(fmt.Sprintf("%s with %q", interim, line), func(request *http.Request, body string) string {
+				return fmt.Sprintf("HTTP/1.1 %s\r\n%s\r\n\r\n%sContent-Length: %d\r\n\r\n%s", interim, line, brokenHead(request), len(body), body)
+			})
+		}
+		broken.checkRejected(fmt.Sprintf("trailer with %q", line), func(request *http.Request, body string) string {
+			return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n\r\n", brokenHead(request), len(body), body, line)
+		})
+	}
+}
+
 // A target answers with a status line that holds no final status. Guards against an answer that
 // passes for one of the target.
 func TestBrokenStatusReachesNoCaller(t *testing.T) {
 	broken := newBrokenSite(t)
-	for _, status := range []string{"000", "001", "099", "101", "00", "0000"} {
-		broken.checkRejected("status "+status, func(request *http.Request) string {
-			return strings.Replace(brokenHead(request), "200 OK", status+" OK", 1)
+	for _, status := range []string{"000", "001", "099", "101", "00", "0000", "1000"} {
+		broken.checkRejected("status "+status, func(request *http.Request, body string) string {
+			return strings.Replace(brokenHead(request), "200 OK", status+" OK", 1) + "\r\n" + body
 		})
 	}
 }
