--- a/cmd/mangopier/broken_test.go
+++ b/cmd/mangopier/broken_test.go
@@ -91,7 +91,7 @@
 	}
 	for _, line := range []string{"X Broken: 1", "X-Broken : 1", "Content-Length : 5", "X-Bro\x01ken: 1"} {
 		broken.checkRejected("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
-		broken.checkRejected("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + line + "\r\n\r\n")
+		broken.checkRejected("HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + line + "\r\n\r\n")
 	}
 }
 
@@ -109,8 +109,11 @@
 	if !errors.As(err, &failure) || failure.runStatus == "not-run" || broken.answers.Load() == 0 {
 		broken.t.Errorf("response to %q of %d targets = %q, %v; want an error of the instance that does not say not-run", answer, broken.answers.Load(), body, err)
 	}
-	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"
-	broken.answerWith(func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, sound) })
+	const sound = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nsound"
+	broken.answerWith(func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, sound)
+		_ = conn.Close()
+	})
 	for range 20 { // requests that the budget of repeats grows with
 		_, _ = broken.post(0, "/broken/repeatable", "x", "")
 	}
--- a/internal/transport/node/broken_test.go
+++ b/internal/transport/node/broken_test.go
@@ -75,7 +75,7 @@
 
 // brokenHead returns the beginning of the head of an answer to a request.
 func brokenHead(request *http.Request) string {
-	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.Header.Get("Attempt-Id") + "\r\nResponse-Signature: s\r\n"
+	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.Header.Get("Attempt-Id") + "\r\nResponse-Signature: s\r\nConnection: close\r\n"
 }
 
 func (broken *brokenSite) answerWith(handler fakes.RawHandler) {
