--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the scripts of the third review, after the build of the deploy file.
+set -eu
+cd "$(dirname "$0")/standin-3"
+go build -o ../../target/standin-3 .
