Review: an engine's unsigned success with another status than 200 is passed on

Cause: accept checks the signature and the ID of an engine's answer for status 200 only, and handleError hands all other statuses to the consumer as they are.

--- a/review/standin-3/mixed.go
+++ b/review/standin-3/mixed.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// spoiledAnswers has a model runner spoil a few of its answers: they have another status and
+// spoiledAnswers has the model runners that decode spoil a few of their answers: they have another status and
 // bytes, and no signature.
 func spoiledAnswers(site *site) (broken bool, err error) {
 	const (
@@ -22,9 +22,9 @@
 			return false, err
 		}
 	}
-	for i := range 2 {
+	for range 2 {
 		var flags []string
-		if site.trouble && i == 0 {
+		if site.trouble {
 			flags = []string{"-spoil", one}
 		}
 		if _, err := site.startRunner(nil, "llm", "decode", "v1", pause, flags...); err != nil {
@@ -44,7 +44,8 @@
 		stream := &consumerStream{name: fmt.Sprintf("c%d", len(streams)+1)}
 		instance, path := site.instances[len(streams)%len(site.instances)], []string{"/talk/1", "/once/1"}[len(streams)/3%2]
 		streams = append(streams, stream)
-		asking.Go(func() { site.ask(stream, instance, prompt{path, []string{"a0a0a0a0"}, 5}, 6*time.Second) })
+		ask := prompt{path, []string{fmt.Sprintf("d0c%05x", len(streams)%30)}, 5}
+		asking.Go(func() { site.ask(stream, instance, ask, 6*time.Second) })
 	}
 	asking.Wait()
 	complete, unsigned := 0, 0
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -309,8 +309,10 @@
 	if err != nil {
 		return nil, err
 	}
-	runner.process = exec.Command(self, append([]string{"runner", "-id", runner.id, "-service", service, "-stage", stage, "-version", version, "-zone", zones[site.nextID%len(zones)],
-		"-address", runner.address, "-store", site.store.address, "-pause", pause.String()}, flags...)...)
+	runner.process = exec.Command(self, append([]string{
+		"runner", "-id", runner.id, "-service", service, "-stage", stage, "-version", version, "-zone", zones[site.nextID%len(zones)],
+		"-address", runner.address, "-store", site.store.address, "-pause", pause.String(),
+	}, flags...)...)
 	runner.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	runner.process.Stderr = os.Stderr
 	output, err := runner.process.StdoutPipe()
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -215,14 +215,6 @@
 	store.write(row{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString([]byte(value))})
 }
 
-// entry returns the entry of a runner, empty for none.
-func (store *store) entry(id string) string {
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	value, _ := base64.StdEncoding.DecodeString(store.rows["servers/"+id].Value)
-	return string(value)
-}
-
 // register takes the entry that a runner writes. The row changes if more than its Sequence
 // does.
 func (store *store) register(w http.ResponseWriter, r *http.Request) {
